--- /dev/null
+++ b/oleanderridge/resolver/__init__.py
@@ -0,0 +1,1 @@
+"""Answers to callers that ask which hosts to use."""
--- /dev/null
+++ b/oleanderridge/runtime/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets, tasks and the composition of one host."""
--- /dev/null
+++ b/oleanderridge/runtime/bundles.py
@@ -0,0 +1,212 @@
+"""Fetches bundles from the platform and from peers and puts them in force."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from msgspec import DecodeError
+from msgspec.json import decode as decode_json
+from result import Err
+
+from oleanderridge.admission.keys import AdmissionIndex, build_index
+from oleanderridge.config.relay import should_watch
+from oleanderridge.config.store import Offer
+from oleanderridge.generated.messages import (
+    ChunkPull,
+    ChunkPush,
+    Manifest,
+    ManifestPush,
+)
+from oleanderridge.runtime.node import Node
+from oleanderridge.runtime.peering import Peering
+from oleanderridge.runtime.platform import PlatformReader
+from oleanderridge.runtime.refresh import refresh_decisions
+from oleanderridge.wire import Message
+
+_MANIFEST = 'bundle/manifest'
+_HOSTS = 'hosts'
+_ELECTION_CHECK_S = 1
+
+
+class BundleSync:
+    """Keeps the accepted bundle and the host list current.
+
+    Parameters
+    ----------
+    node : Node
+        The host.
+    peering : Peering
+        Takes the host lists.
+    reader : PlatformReader
+        Client of the platform.
+    on_index : callable
+        Called with the new index after each accepted bundle.
+    """
+
+    def __init__(
+        self,
+        node: Node,
+        peering: Peering,
+        reader: PlatformReader,
+        on_index: Callable[[AdmissionIndex], None],
+    ) -> None:
+        self._node = node
+        self._peering = peering
+        self._reader = reader
+        self._on_index = on_index
+        self._revision_by_key: dict[str, int] = {}
+        handlers = node.handler_by_kind
+        handlers['manifest_pull'] = self._on_manifest_pull
+        handlers['manifest_push'] = self._on_manifest_push
+        handlers['chunk_pull'] = self._on_chunk_pull
+        handlers['chunk_push'] = self._on_chunk_push
+
+    async def run(self) -> None:
+        """Read the platform once, then watch it while elected."""
+        await asyncio.gather(
+            self._follow(_HOSTS, self._take_hosts),
+            self._follow(_MANIFEST, self._take_manifest),
+        )
+
+    async def _follow(self, key: str, take: Callable) -> None:
+        await self._read_first(key, take)
+        while True:
+            if not self._elected():
+                self._node.watching = False
+                await asyncio.sleep(_ELECTION_CHECK_S)
+                continue
+            await self._watch_once(key, take)
+
+    async def _read_first(self, key: str, take: Callable) -> None:
+        outcome = await self._reader.read(key)
+        if isinstance(outcome, Err):
+            self._node.note('platform-read-failed', error=outcome.err_value)
+            return
+        self._revision_by_key[key] = outcome.ok_value.revision
+        await take(outcome.ok_value.content)
+
+    async def _watch_once(self, key: str, take: Callable) -> None:
+        node = self._node
+        after = self._revision_by_key.get(key, 0)
+        outcome = await self._reader.watch(key, after)
+        if isinstance(outcome, Err):
+            node.watching = False
+            node.note('platform-watch-failed', error=outcome.err_value)
+            await asyncio.sleep(
+                node.settings['platform']['retry_s']
+                * node.rng.uniform(0.5, 1.5),
+            )
+            return
+        node.watching = True
+        value = outcome.ok_value
+        if value is not None:
+            self._revision_by_key[key] = value.revision
+            await take(value.content)
+
+    def _elected(self) -> bool:
+        node = self._node
+        return should_watch(
+            node.host,
+            node.members(),
+            node.clock(),
+            self._peering.last_watch_heard,
+        )
+
+    async def _take_hosts(self, content: bytes) -> None:
+        self._peering.accept_platform_list(content)
+
+    async def _take_manifest(self, content: bytes) -> None:
+        try:
+            manifest = decode_json(content, type=Manifest)
+        except DecodeError as error:
+            self._node.note('manifest-malformed', error=error)
+            return
+        offer = self._offer_manifest(manifest, 'platform')
+        for digest in offer.missing:
+            chunk = await self._reader.read(f'bundle/chunk/{digest}')
+            if isinstance(chunk, Err):
+                self._node.note('chunk-unavailable', error=chunk.err_value)
+                # The watch must deliver this manifest again.
+                self._revision_by_key.pop(_MANIFEST, None)
+                return
+            self._offer_chunk(digest, chunk.ok_value.content, 'platform')
+
+    def _on_manifest_pull(self, message: Message) -> None:
+        node = self._node
+        accepted = node.store.accepted
+        if accepted is None:
+            return
+        push = ManifestPush(
+            kind='manifest_push',
+            host=node.host,
+            manifest=accepted.manifest,
+        )
+        node.send(message['host'], push)
+
+    def _on_manifest_push(self, message: Message) -> None:
+        node = self._node
+        source = message['host']
+        offer = self._offer_manifest(message['manifest'], source)
+        for digest in offer.missing:
+            pull = ChunkPull(kind='chunk_pull', host=node.host, digest=digest)
+            node.send(source, pull)
+
+    def _on_chunk_pull(self, message: Message) -> None:
+        node = self._node
+        content = node.store.chunk(message['digest'])
+        if content is None:
+            return
+        push = ChunkPush(
+            kind='chunk_push',
+            host=node.host,
+            digest=message['digest'],
+            content=content,
+        )
+        node.send(message['host'], push)
+
+    def _on_chunk_push(self, message: Message) -> None:
+        self._offer_chunk(
+            message['digest'],
+            message['content'],
+            message['host'],
+        )
+
+    def _offer_manifest(self, manifest: Manifest, source: str) -> Offer:
+        offer = self._node.store.offer_manifest(manifest)
+        self._conclude(offer, source)
+        return offer
+
+    def _offer_chunk(self, digest: str, content: bytes, source: str) -> None:
+        self._conclude(self._node.store.offer_chunk(digest, content), source)
+
+    def _conclude(self, offer: Offer, source: str) -> None:
+        if offer.status == 'accepted':
+            self._put_in_force(source)
+        elif offer.status in {'invalid', 'conflict'}:
+            self._node.note(
+                'bundle-refused',
+                source=source,
+                status=offer.status,
+                detail=offer.message,
+            )
+
+    def _put_in_force(self, source: str) -> None:
+        node = self._node
+        accepted = node.store.accepted
+        now = node.clock()
+        node.index = build_index(accepted.document)
+        services = accepted.document['services']
+        node.services_by_name = {entry['name']: entry for entry in services}
+        node.url_by_target = {
+            target['name']: target['url']
+            for entry in services
+            for target in entry['targets']
+        }
+        node.membership.set_bundle(accepted.version, accepted.digest, now)
+        node.bundle_accepted_at = now
+        node.metrics.bundle_version.set({}, accepted.version)
+        refresh_decisions(node)
+        self._on_index(node.index)
+        node.note('bundle-accepted', version=accepted.version, source=source)
+        self._peering.beat()
--- /dev/null
+++ b/oleanderridge/runtime/host.py
@@ -0,0 +1,196 @@
+"""Composes one host and runs it until it is told to stop."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+from collections.abc import Coroutine
+from typing import Any
+
+from oleanderridge.admission.keys import authorise, match_route
+from oleanderridge.forward.client import TargetClient
+from oleanderridge.forward.forwarder import Forwarder, Ports
+from oleanderridge.generated.settings import Settings
+from oleanderridge.runtime.admin_api import build_admin_app
+from oleanderridge.runtime.bundles import BundleSync
+from oleanderridge.runtime.caller_api import build_caller_app
+from oleanderridge.runtime.claims import ClaimClient
+from oleanderridge.runtime.http import LoopServer, make_server
+from oleanderridge.runtime.node import Node
+from oleanderridge.runtime.peering import Peering
+from oleanderridge.runtime.permits import PermitClient
+from oleanderridge.runtime.platform import PlatformReader
+from oleanderridge.runtime.probes import run_probes
+from oleanderridge.runtime.refresh import refresh_shares
+from oleanderridge.runtime.tokens import TokenClient
+
+_TICK_S = 0.02
+_SHARES_TICK_S = 0.5
+_DRAIN_POLL_S = 0.05
+
+
+class HostProcess:
+    """One running host.
+
+    Parameters
+    ----------
+    settings : Settings
+        Complete settings of the host.
+    """
+
+    def __init__(self, settings: Settings) -> None:
+        self.node = Node(settings)
+        self._peering = Peering(self.node)
+        self._reader = PlatformReader(settings, self.node.metrics)
+        self._client = TargetClient(settings)
+        self._forwarder = Forwarder(settings, self._client, self._ports())
+        self._bundles = BundleSync(
+            self.node,
+            self._peering,
+            self._reader,
+            self._forwarder.on_bundle,
+        )
+        self._stopping = asyncio.Event()
+        self._tasks: set[asyncio.Task] = set()
+        self._servers: tuple[LoopServer, ...] = ()
+
+    async def run(self) -> int:
+        """Serve until SIGTERM, SIGINT or a drain request.
+
+        Returns
+        -------
+        int
+            Exit status: 0 after a graceful shutdown.
+        """
+        node = self.node
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._stopping.set)
+        node.transport.listen()
+        node.connect_peers()
+        await self._client.open()
+        self._servers = self._make_servers()
+        self._start(node.transport.receive_forever())
+        self._start(self._peering.run())
+        self._start(self._bundles.run())
+        self._start(self._tick())
+        self._start(self._tick_shares())
+        self._start(run_probes(node))
+        serving = [self._start(server.serve()) for server in self._servers]
+        node.note('host-started', incarnation=node.incarnation)
+        await self._stopping.wait()
+        await self._drain()
+        for server in self._servers:
+            server.should_exit = True
+        await asyncio.gather(*serving)
+        await self._close()
+        node.note('host-stopped')
+        return 0
+
+    def _ports(self) -> Ports:
+        node = self.node
+        tokens = TokenClient(node)
+        permits = PermitClient(node)
+        claims = ClaimClient(node)
+        cell = node.settings['cell']
+        return Ports(
+            match=lambda method, path: match_route(node.index, method, path),
+            authorise=lambda route, key: authorise(
+                node.index,
+                route,
+                key,
+                cell,
+            ),
+            service=node.service,
+            admit=tokens.admit,
+            refund=tokens.refund,
+            acquire=permits.acquire,
+            release=permits.release,
+            claim=claims.claim,
+            complete=claims.complete,
+            clock=node.clock,
+        )
+
+    def _make_servers(self) -> tuple[LoopServer, ...]:
+        settings = self.node.settings
+        caller_app = build_caller_app(self.node, self._forwarder)
+        admin_app = build_admin_app(self.node, self._stopping.set)
+        caller, admin = settings['caller'], settings['admin']
+        return (
+            make_server(caller_app, caller['address'], caller['port']),
+            make_server(admin_app, admin['address'], admin['port']),
+        )
+
+    def _start(self, work: Coroutine[Any, Any, Any]) -> asyncio.Task:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._on_task_done)
+        return task
+
+    def _on_task_done(self, task: asyncio.Task) -> None:
+        self._tasks.discard(task)
+        if task.cancelled() or task.exception() is None:
+            return
+        self.node.note('task-failed', error=repr(task.exception()))
+        self._stopping.set()
+
+    async def _tick(self) -> None:
+        node = self.node
+        expected = node.clock()
+        while True:
+            now = node.clock()
+            node.metrics.loop_lag.set({}, max(0, now - expected))
+            node.metrics.live_requests.set({}, self._forwarder.live())
+            node.send_all(node.broker.tick(now))
+            expected = node.clock() + _TICK_S
+            await asyncio.sleep(_TICK_S)
+
+    async def _tick_shares(self) -> None:
+        while True:
+            refresh_shares(self.node)
+            self.node.register.expire(self.node.clock())
+            await asyncio.sleep(_SHARES_TICK_S)
+
+    async def _drain(self) -> None:
+        node = self.node
+        node.leaving = True
+        node.membership.begin_leaving(node.clock())
+        node.send_all(node.broker.hand_back(node.clock()))
+        self._peering.beat()
+        node.note('host-leaving', live=self._forwarder.live())
+        # Callers may use an answer that names this host until it expires,
+        # and peers name it until the next heartbeat reaches them.
+        interval_s = node.settings['membership']['heartbeat_interval_s']
+        await asyncio.sleep(
+            node.settings['caller']['resolve_ttl_s'] + 2 * interval_s,
+        )
+        while self._forwarder.live():
+            await asyncio.sleep(_DRAIN_POLL_S)
+
+    async def _close(self) -> None:
+        for task in tuple(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self.node.transport.close()
+        await self._client.close()
+        await self._reader.close()
+
+
+def run(settings: Settings) -> int:
+    """Run one host to its end.
+
+    Parameters
+    ----------
+    settings : Settings
+        Complete settings of the host.
+
+    Returns
+    -------
+    int
+        Exit status.
+    """
+
+    async def main() -> int:
+        return await HostProcess(settings).run()
+
+    return asyncio.run(main())
--- /dev/null
+++ b/oleanderridge/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Logs, metrics and traces of one host."""
