--- /dev/null
+++ b/oleanderridge/config/__init__.py
@@ -0,0 +1,1 @@
+"""Bundle documents, their signatures and chunks, acceptance and relay."""
