--- /dev/null
+++ b/oleanderridge/dispatch/__init__.py
@@ -0,0 +1,1 @@
+"""Who may use which slot of a target, and in which order."""
--- /dev/null
+++ b/oleanderridge/dispatch/independent.py
@@ -0,0 +1,102 @@
+"""Picks targets by a host's own knowledge, without a broker."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Collection, Iterable
+from random import Random
+
+from oleanderridge.generated.bundle import Service
+from oleanderridge.generated.settings import Settings
+from oleanderridge.health.service import Candidate, ServiceHealth
+
+
+class IndependentDispatch:
+    """Two-choice dispatch by the host's own in-flight counts.
+
+    Parameters
+    ----------
+    settings : Settings
+        Settings of this host, defaults filled in.
+    rng : Random
+        Chooses the two targets that are compared.
+    """
+
+    def __init__(self, settings: Settings, rng: Random) -> None:
+        self._settings = settings
+        self._rng = rng
+        self._health_by_service: dict[str, ServiceHealth] = {}
+        self._leaving: frozenset[str] = frozenset()
+        self._in_flight: Counter[tuple[str, str]] = Counter()
+
+    def configure(
+        self,
+        services: Iterable[Service],
+        leaving: Collection[str],
+        now: float,
+    ) -> None:
+        """Take over the services and the names of leaving targets."""
+        self._leaving = frozenset(leaving)
+        known = self._health_by_service
+        self._health_by_service = {}
+        for service in services:
+            health = known.get(service['name'])
+            if health is None:
+                health = ServiceHealth(service)
+            else:
+                health.update(service, now)
+            self._health_by_service[service['name']] = health
+
+    def health(self, service: str) -> ServiceHealth | None:
+        """Return the health of a service, for probes; None if unknown."""
+        return self._health_by_service.get(service)
+
+    def pick(
+        self, service: str, excluded: Collection[str], now: float
+    ) -> str | None:
+        """Return a target and count it as in flight, or None.
+
+        This host sends at most one request at a time to a target, because
+        other hosts fall back at the same moment.
+        """
+        health = self._health_by_service.get(service)
+        if health is None:
+            return None
+        idle = [
+            candidate
+            for candidate in health.candidates(
+                self._settings['host'], now, self._leaving, excluded
+            )
+            if not self._in_flight[(service, candidate.target)]
+        ]
+        if not idle:
+            return None
+        chosen = self._better_of_two(idle)
+        self._in_flight[(service, chosen.target)] += 1
+        return chosen.target
+
+    def done(
+        self,
+        service: str,
+        target: str,
+        outcome: str,
+        latency_ms: float,
+        now: float,
+    ) -> None:
+        """Free a picked target and take in what happened."""
+        if self._in_flight[(service, target)] > 0:
+            self._in_flight[(service, target)] -= 1
+        health = self._health_by_service.get(service)
+        if health is not None:
+            health.report(
+                self._settings['host'],
+                self._settings['zone'],
+                target,
+                outcome,
+                latency_ms,
+                now,
+            )
+
+    def _better_of_two(self, idle: list[Candidate]) -> Candidate:
+        pair = self._rng.sample(idle, min(2, len(idle)))
+        return min(pair, key=lambda candidate: candidate.latency_ms)
--- /dev/null
+++ b/oleanderridge/health/__init__.py
@@ -0,0 +1,1 @@
+"""Evidence about targets, and which of them may receive work."""
