--- a/bench/platform.py
+++ b/bench/platform.py
@@ -13,6 +13,8 @@
 
 from aiohttp import web
 
+from bench.sockets import reset
+
 MODES = ('up', 'down', 'stale', 'paused')
 VALUE_LIMIT_BYTES = 1_000_000
 
@@ -69,8 +71,7 @@
     while state.mode == 'paused':
         await state.changed.wait()
     if state.mode == 'down':
-        if request.transport is not None:
-            request.transport.abort()
+        reset(request.transport)
         return False
     return True
 
--- a/bench/target.py
+++ b/bench/target.py
@@ -18,6 +18,8 @@
 
 from aiohttp import web
 
+from bench.sockets import reset
+
 ORDER_METHOD = 'POST'
 _CHUNK_BYTES = 16_384
 _RECORDS_MAX = 50_000
@@ -202,8 +204,7 @@
 
 
 def _abort(request: web.Request) -> web.Response:
-    if request.transport is not None:
-        request.transport.abort()
+    reset(request.transport)
     return web.Response(status=503)
 
 
@@ -434,8 +435,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Reset the connection at once."""
-        if isinstance(transport, asyncio.Transport):
-            transport.abort()
+        reset(transport)
 
 
 async def serve(options: Options, address: str, ports: tuple[int, int]) -> None:
