--- /dev/null
+++ b/oleanderridge/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Key lookup, route matching and token buckets."""
--- /dev/null
+++ b/oleanderridge/admission/buckets.py
@@ -0,0 +1,342 @@
+"""Token buckets of the workspaces for which this host is a minter."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Sequence
+from math import ceil
+from typing import Any, Final, NamedTuple
+
+from oleanderridge.admission.bucket import Bucket
+from oleanderridge.admission.leaseclock import LeaseClock
+from oleanderridge.admission.replies import ReplyMemory
+from oleanderridge.admission.terms import (
+    Share,
+    Table,
+    build_table,
+    changed_names,
+    listed_minters,
+    smallest_share,
+)
+from oleanderridge.generated.bundle import BundleDocument
+from oleanderridge.generated.messages import (
+    HostList,
+    TokenReply,
+    TokenRequest,
+)
+from oleanderridge.generated.settings import Settings
+from oleanderridge.wire import Outgoing
+
+TAKEN: Final = 'taken'
+EMPTY: Final = 'empty'
+NO_LEASE: Final = 'no-lease'
+NOT_MINTER: Final = 'not-minter'
+
+
+class Take(NamedTuple):
+    """Outcome of asking the local bucket for one token."""
+
+    status: str
+    retry_after_s: float
+
+
+def grant_usable(sent_at: float, now: float, settings: Settings) -> bool:
+    """Return whether a granted token may still be used.
+
+    Parameters
+    ----------
+    sent_at : float
+        When this host first sent the request with that id, in monotonic
+        seconds; a repetition does not move it.
+    now : float
+        Monotonic seconds.
+    settings : Settings
+        Of this host.
+
+    Returns
+    -------
+    bool
+        False once the giver may count on the token being unused.
+    """
+    return 0 <= now - sent_at < settings['admission']['grant_expiry_s']
+
+
+class TokenBuckets:
+    """Buckets by workspace, created on first use."""
+
+    def __init__(self, host: str, settings: Settings) -> None:
+        """Start without lists and bundles, hence without shares."""
+        self._host = host
+        self._settings = settings['admission']
+        self._hold_s = settings['membership']['hold_s']
+        self._lists: tuple[HostList, ...] = ()
+        self._tables: tuple[Table, ...] = ()
+        self._documents: tuple[BundleDocument, ...] = ()
+        self._unequal: set[str] = set()
+        self._clock = LeaseClock()
+        self._buckets: dict[str, Bucket] = {}
+        # Lease clock at which the shares of unused buckets last changed: of
+        # all of them, and of single workspaces.
+        self._since: float = 0
+        self._changed_at: dict[str, float] = {}
+        self._replies = ReplyMemory(self._settings['grant_hold_s'])
+
+    def update(
+        self,
+        lists: Iterable[HostList],
+        documents: Iterable[BundleDocument],
+        now: float,
+    ) -> None:
+        """Use the lists and bundles under which a host may hold a lease.
+
+        Parameters
+        ----------
+        lists : iterable of HostList
+            Unsettled lists, the current one last.
+        documents : iterable of BundleDocument
+            Bundles of the unsettled versions, the current one last.
+        now : float
+            Monotonic seconds.
+        """
+        self._clock.advance(now)
+        new_lists = tuple(lists)
+        new_documents = tuple(documents)
+        if _revisions(new_lists) != _revisions(self._lists):
+            self._change_lists(new_lists, now)
+        if _versions(new_documents) != _versions(self._documents):
+            self._change_documents(new_documents, now)
+
+    def note_lease(self, now: float, lease_until: float) -> None:
+        """Let the buckets know of the lease between requests.
+
+        Leased time counts only as far as observations show it, so this is
+        called at least every ``lease_s``, for example with each heartbeat.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic seconds.
+        lease_until : float
+            Monotonic seconds; 0 without a lease.
+        """
+        gap_s = self._clock.observe(now, lease_until)
+        # A host that was without lease for longer than hold_s may resume
+        # under a list that others had replaced meanwhile. It starts like a
+        # new minter, so its share is not spent a second time.
+        if gap_s > self._hold_s and lease_until > now:
+            self._since = self._clock.elapsed
+            for bucket in self._buckets.values():
+                bucket.empty()
+
+    def take(self, workspace: str, now: float, lease_until: float) -> Take:
+        """Take one token from the local bucket.
+
+        Parameters
+        ----------
+        workspace : str
+            Workspace name.
+        now : float
+            Monotonic seconds.
+        lease_until : float
+            From the membership, for this moment.
+
+        Returns
+        -------
+        Take
+            ``taken``, ``empty``, ``no-lease`` or ``not-minter``.
+        """
+        self.note_lease(now, lease_until)
+        bucket = self._bucket(workspace, now)
+        if bucket is None:
+            return Take(NOT_MINTER, 0)
+        if lease_until <= now:
+            return Take(NO_LEASE, 0)
+        if bucket.take():
+            return Take(TAKEN, 0)
+        return Take(EMPTY, bucket.retry_after_s())
+
+    def refund(self, workspace: str, now: float) -> None:
+        """Put back a token of ``take`` whose request was not run.
+
+        Parameters
+        ----------
+        workspace : str
+            Workspace name.
+        now : float
+            Monotonic seconds.
+        """
+        bucket = self._buckets.get(workspace)
+        if bucket is not None:
+            bucket.refund(now)
+
+    def on_token_request(
+        self,
+        message: TokenRequest,
+        now: float,
+        lease_until: float,
+    ) -> Outgoing:
+        """Give one token to another host, or say why not.
+
+        Parameters
+        ----------
+        message : TokenRequest
+            Possibly a repetition, which gets the same reply and no token.
+        now : float
+            Monotonic seconds.
+        lease_until : float
+            From the membership, for this moment.
+
+        Returns
+        -------
+        Outgoing
+            The reply to the asking host.
+        """
+        self.note_lease(now, lease_until)
+        reply = self._replies.find(message, now)
+        if reply is None:
+            reply = self._reply(message, now, lease_until)
+            self._replies.keep(message, reply, now)
+        return Outgoing(message['host'], dict(reply))
+
+    def minters(self, workspace: str) -> tuple[str, ...]:
+        """Return the other hosts that may give a token.
+
+        Parameters
+        ----------
+        workspace : str
+            Workspace name.
+
+        Returns
+        -------
+        tuple of str
+            By the current list and bundle, best first.
+        """
+        terms = self._tables[-1].get(workspace) if self._tables else None
+        if terms is None or not self._lists:
+            return ()
+        listed = listed_minters(
+            self._lists[-1], terms, self._settings['minters_max']
+        )
+        return tuple(host for host in listed if host != self._host)
+
+    def snapshot(self, limit: int) -> list[dict[str, Any]]:
+        """Return the emptiest buckets for the status page.
+
+        Parameters
+        ----------
+        limit : int
+            Largest number of entries.
+
+        Returns
+        -------
+        list of dict
+            ``workspace``, ``level``, ``capacity`` in tokens and ``rate`` in
+            tokens per second, as of the last use of the bucket.
+        """
+        emptiest = sorted(
+            self._buckets.items(),
+            key=lambda entry: (entry[1].level - entry[1].capacity, entry[0]),
+        )
+        return [
+            {
+                'workspace': name,
+                'level': bucket.level,
+                'capacity': bucket.capacity,
+                'rate': bucket.rate,
+            }
+            for name, bucket in emptiest[:limit]
+        ]
+
+    def _reply(
+        self,
+        message: TokenRequest,
+        now: float,
+        lease_until: float,
+    ) -> TokenReply:
+        bucket = self._bucket(message['workspace'], now)
+        granted = False
+        retry_after_s = float(0)
+        reason = NO_LEASE
+        if bucket is not None and lease_until > now:
+            hold_s = self._settings['grant_hold_s']
+            granted = bucket.grant(now + hold_s)
+            retry_after_s = bucket.retry_after_s()
+            reason = '' if granted else EMPTY
+        return {
+            'kind': 'token_reply',
+            'host': self._host,
+            'request_id': message['request_id'],
+            'granted': granted,
+            'reason': reason,
+            'retry_after_ms': ceil(retry_after_s * 1000),
+        }
+
+    def _share(self, workspace: str) -> Share:
+        return smallest_share(
+            self._host,
+            self._lists,
+            [table.get(workspace) for table in self._tables],
+            self._settings['minters_max'],
+        )
+
+    def _bucket(self, workspace: str, now: float) -> Bucket | None:
+        bucket = self._buckets.get(workspace)
+        if bucket is None:
+            share = self._share(workspace)
+            if not share.capacity:
+                return None
+            since = self._changed_at.pop(workspace, self._since)
+            bucket = Bucket(max(since, self._since))
+            bucket.set_share(*share, now)
+            self._buckets[workspace] = bucket
+        bucket.accrue(self._clock.elapsed, now)
+        return bucket if bucket.capacity else None
+
+    def _change_lists(self, lists: tuple[HostList, ...], now: float) -> None:
+        self._lists = lists
+        self._since = self._clock.elapsed
+        self._changed_at.clear()
+        self._reshare(list(self._buckets), now)
+
+    def _change_documents(
+        self,
+        documents: tuple[BundleDocument, ...],
+        now: float,
+    ) -> None:
+        known = {
+            document['version']: table
+            for document, table in zip(
+                self._documents, self._tables, strict=True
+            )
+        }
+        tables = tuple(
+            known.get(document['version']) or build_table(document)
+            for document in documents
+        )
+        affected = self._affected(tables)
+        self._unequal = changed_names(tables)
+        self._documents = documents
+        self._tables = tables
+        for name in affected:
+            if name not in self._buckets:
+                self._changed_at[name] = self._clock.elapsed
+        self._reshare(affected & self._buckets.keys(), now)
+
+    def _affected(self, tables: Sequence[Table]) -> set[str]:
+        if not self._tables:
+            self._since = self._clock.elapsed
+            return set()
+        return self._unequal | changed_names((self._tables[-1], *tables))
+
+    def _reshare(self, names: Iterable[str], now: float) -> None:
+        for name in names:
+            bucket = self._buckets[name]
+            bucket.accrue(self._clock.elapsed, now)
+            bucket.set_share(*self._share(name), now)
+
+
+def _revisions(lists: Iterable[HostList]) -> list[int]:
+    return [host_list['revision'] for host_list in lists]
+
+
+def _versions(documents: Iterable[BundleDocument]) -> list[int]:
+    return [document['version'] for document in documents]
--- /dev/null
+++ b/oleanderridge/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Host list, heartbeats and the lease that allows minting tokens."""
