--- /dev/null
+++ b/oleanderridge/forward/idempotency.py
@@ -0,0 +1,312 @@
+"""Idempotency keys: their forms and the register of one host.
+
+The register promises that a key which it answers with ``claimed`` was not
+claimed before within its lifetime. It never forgets a key early: when it is
+full it refuses new ones.
+"""
+
+from __future__ import annotations
+
+import re
+from heapq import heappop, heappush
+from math import inf
+from typing import Final, NamedTuple
+
+from result import Err, Ok, Result
+from xxhash import xxh64_intdigest
+
+from oleanderridge.generated.messages import (
+    HostList,
+    KeyClaim,
+    KeyClaimReply,
+    KeyOutcome,
+    StoredAnswer,
+)
+from oleanderridge.generated.settings import Settings
+from oleanderridge.refusals import Refusal, refuse
+
+CLAIMED: Final = 'claimed'
+IN_PROGRESS: Final = 'in-progress'
+DONE: Final = 'done'
+OUTCOME_UNKNOWN: Final = 'unknown'
+MISMATCH: Final = 'mismatch'
+FULL: Final = 'full'
+NOT_RUN: Final = 'not-run'
+
+_LENGTH_LIMIT: Final = 256
+_PRINTABLE: Final = re.compile('[!-~]+')
+_BOUND: Final = re.compile(
+    r'(?P<host>[a-z0-9][a-z0-9-]{0,62})'
+    r'\.(?P<incarnation>[0-9]{1,18})\.(?P<issued>[0-9]{1,12})\.?'
+    r'(?P<unique>.*)'
+)
+
+
+class KeyName(NamedTuple):
+    """An idempotency key; ``host`` is empty in the plain form."""
+
+    host: str
+    incarnation: int
+    issued: int
+    unique: str
+
+
+class _Record:
+    """What the register knows of one key."""
+
+    __slots__ = ('answer', 'claim_id', 'expires_at', 'fingerprint', 'state')
+
+    def __init__(
+        self, claim_id: str, fingerprint: str, expires_at: float
+    ) -> None:
+        self.claim_id = claim_id
+        self.fingerprint = fingerprint
+        self.expires_at = expires_at
+        self.state = IN_PROGRESS
+        self.answer: StoredAnswer | None = None
+
+
+def parse_key(text: str) -> Result[KeyName, Refusal]:
+    """Return the parts of an idempotency key.
+
+    Parameters
+    ----------
+    text : str
+        The value of the ``Idempotency-Key`` header.
+
+    Returns
+    -------
+    Result of KeyName, Refusal
+        Refused as ``bad-request`` when the key is empty, longer than 256
+        characters, not printable ASCII, or a bound prefix alone.
+    """
+    if len(text) > _LENGTH_LIMIT or not _PRINTABLE.fullmatch(text):
+        return Err(
+            refuse(
+                'bad-request',
+                'the idempotency key must be 1 to 256 printable characters',
+            )
+        )
+    match = _BOUND.fullmatch(text)
+    if match is None:
+        return Ok(KeyName('', 0, 0, text))
+    if not match['unique']:
+        return Err(
+            refuse('bad-request', 'the idempotency key ends at its prefix')
+        )
+    return Ok(
+        KeyName(
+            match['host'],
+            int(match['incarnation']),
+            int(match['issued']),
+            match['unique'],
+        )
+    )
+
+
+def plain_home(host_list: HostList, key: str) -> str:
+    """Return the host that records a plain key.
+
+    Parameters
+    ----------
+    host_list : HostList
+        The current list.
+    key : str
+        The key's text.
+
+    Returns
+    -------
+    str
+        The first live host by rendezvous hashing; empty without live hosts.
+    """
+    live = [
+        entry['host']
+        for entry in host_list['hosts']
+        if entry['state'] == 'live'
+    ]
+    return max(
+        live,
+        key=lambda host: (xxh64_intdigest(f'{host}\0{key}'), host),
+        default='',
+    )
+
+
+class KeyRegister:
+    """The idempotency keys whose home is this host.
+
+    Parameters
+    ----------
+    settings : Settings
+        ``host`` and the ``forward`` section are used.
+    incarnation : int
+        The incarnation of this process.
+    started : float
+        Monotonic seconds at which this process started.
+    """
+
+    def __init__(
+        self, settings: Settings, incarnation: int, started: float
+    ) -> None:
+        forward = settings['forward']
+        self._host = settings['host']
+        self._incarnation = incarnation
+        self._started = started
+        self._lifetime = forward['key_lifetime_s']
+        self._keys_max = forward['keys_max']
+        self._answer_limit = forward['stored_answer_limit_bytes']
+        self._records: dict[tuple[str, str], _Record] = {}
+        self._expiries: list[tuple[float, tuple[str, str]]] = []
+
+    def __len__(self) -> int:
+        return len(self._records)
+
+    def claim(
+        self, message: KeyClaim, now: float, home_since: float, leased: bool
+    ) -> KeyClaimReply:
+        """Claim a key for one request.
+
+        Parameters
+        ----------
+        message : KeyClaim
+            The claim; a repeated claim with the same ``claim_id`` gets the
+            same reply.
+        now : float
+            Monotonic seconds.
+        home_since : float
+            Since when this host has been the home of the plain key
+            (monotonic seconds); infinity when it is not its home.
+        leased : bool
+            Whether this host holds a lease at ``now``.
+
+        Returns
+        -------
+        KeyClaimReply
+            ``claimed``: run it. ``done``: with the stored answer.
+            ``in-progress`` and ``unknown``: run nothing. ``mismatch``: the
+            key belongs to another request or lies in the future. ``full``:
+            no room; the key was not seen before.
+        """
+        self.expire(now)
+        record = self._records.get((message['workspace'], message['key']))
+        if record is not None:
+            return self._repeated(message, record)
+        state, expires_at = self._unseen(message, now, home_since, leased)
+        if state == CLAIMED and len(self._records) >= self._keys_max:
+            state = FULL
+        if state == CLAIMED:
+            self._add(message, expires_at)
+        return _reply(message, self._host, state)
+
+    def complete(self, message: KeyOutcome, now: float) -> None:
+        """Record how a claimed request ended; ``not-run`` frees the key.
+
+        Parameters
+        ----------
+        message : KeyOutcome
+            Ignored unless its claim holds the key and is in progress.
+        now : float
+            Monotonic seconds.
+        """
+        self.expire(now)
+        name = (message['workspace'], message['key'])
+        record = self._records.get(name)
+        if record is None or record.claim_id != message['claim_id']:
+            return
+        if record.state != IN_PROGRESS:
+            return
+        if message['state'] == NOT_RUN:
+            self._records.pop(name)
+            return
+        record.state = OUTCOME_UNKNOWN
+        answer = message.get('answer')
+        fits = answer is not None and len(answer['body']) <= self._answer_limit
+        if message['state'] == DONE and fits:
+            record.state = DONE
+            record.answer = answer
+        if not _is_bound(message['key']):
+            record.expires_at = now + self._lifetime
+
+    def expire(self, now: float) -> None:
+        """Forget the keys whose lifetime has passed.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic seconds.
+        """
+        while self._expiries and self._expiries[0][0] <= now:
+            _, name = heappop(self._expiries)
+            record = self._records.get(name)
+            if record is None:
+                continue
+            if record.expires_at <= now:
+                self._records.pop(name)
+            else:
+                heappush(self._expiries, (record.expires_at, name))
+
+    def _repeated(self, message: KeyClaim, record: _Record) -> KeyClaimReply:
+        if record.fingerprint != message['fingerprint']:
+            return _reply(message, self._host, MISMATCH)
+        if record.state != IN_PROGRESS:
+            return _reply(message, self._host, record.state, record.answer)
+        same = record.claim_id == message['claim_id']
+        return _reply(message, self._host, CLAIMED if same else IN_PROGRESS)
+
+    def _unseen(
+        self, message: KeyClaim, now: float, home_since: float, leased: bool
+    ) -> tuple[str, float]:
+        parsed = parse_key(message['key'])
+        if parsed.is_err():
+            return MISMATCH, 0
+        name = parsed.unwrap()
+        if not name.host:
+            known_since = max(self._started, home_since)
+            if not leased or now - known_since < self._lifetime:
+                return OUTCOME_UNKNOWN, 0
+            return CLAIMED, now + self._lifetime
+        if (name.host, name.incarnation) != (self._host, self._incarnation):
+            return OUTCOME_UNKNOWN, 0
+        if name.issued > now:
+            return MISMATCH, 0
+        expires_at = name.issued + self._lifetime
+        return (CLAIMED if now < expires_at else OUTCOME_UNKNOWN), expires_at
+
+    def _add(self, message: KeyClaim, expires_at: float) -> None:
+        name = (message['workspace'], message['key'])
+        self._records[name] = _Record(
+            message['claim_id'], message['fingerprint'], expires_at
+        )
+        heappush(self._expiries, (expires_at, name))
+
+
+def never_home() -> float:
+    """Return the ``home_since`` of a host that is not the key's home.
+
+    Returns
+    -------
+    float
+        Infinity.
+    """
+    return inf
+
+
+def _is_bound(key: str) -> bool:
+    parsed = parse_key(key)
+    return parsed.is_ok() and bool(parsed.unwrap().host)
+
+
+def _reply(
+    message: KeyClaim,
+    host: str,
+    state: str,
+    answer: StoredAnswer | None = None,
+) -> KeyClaimReply:
+    reply: KeyClaimReply = {
+        'kind': 'key_claim_reply',
+        'host': host,
+        'claim_id': message['claim_id'],
+        'state': state,
+    }
+    if answer is not None:
+        reply['answer'] = answer
+    return reply
