Reuse decoded chunks between bundles and check documents with compiled types

A lower version than the one being fetched is still collected, since the newest bundle's chunks may be unobtainable while the platform is down.

--- /dev/null
+++ b/oleanderridge/config/assembly.py
@@ -0,0 +1,148 @@
+"""Assembles a document from chunks and reuses what is already decoded."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from itertools import chain, pairwise
+from typing import Any, Final, NamedTuple, cast
+
+from result import Err, Ok, Result
+
+from oleanderridge.config.chunks import join
+from oleanderridge.config.document import (
+    SECTION_LINES,
+    SECTIONS,
+    decode,
+    decode_entries,
+    head_line,
+)
+from oleanderridge.config.rules import reference_faults
+from oleanderridge.findings import format_finding
+from oleanderridge.generated.bundle import BundleDocument
+from oleanderridge.generated.messages import Manifest
+
+# The entries of a chunk by section and digest.
+EntriesByChunk = dict[tuple[str, str], list[Any]]
+
+_FINDINGS_SHOWN: Final = 5
+_COMMA: Final = b',\n'
+
+
+class Assembly(NamedTuple):
+    """A valid document and the entries that its chunks hold."""
+
+    document: BundleDocument
+    entries_by_chunk: EntriesByChunk
+
+
+def assemble(
+    manifest: Manifest,
+    content_by_digest: Mapping[str, bytes],
+    known: EntriesByChunk,
+) -> Result[Assembly, str]:
+    """Return the document of a manifest whose chunks are all present.
+
+    Chunks that ``known`` covers are neither decoded nor checked again, and
+    their entries are shared between documents.
+
+    Parameters
+    ----------
+    manifest : Manifest
+        A verified manifest.
+    content_by_digest : mapping of str to bytes
+        All its chunks, with digests checked.
+    known : dict
+        Entries of an earlier assembly.
+
+    Returns
+    -------
+    Result of Assembly, str
+        The document; or what is wrong with it.
+    """
+    assembly = _from_chunks(manifest, content_by_digest, known)
+    if assembly is not None:
+        return Ok(assembly)
+    # Either something is wrong, which a look at the whole document explains,
+    # or another builder has split the document in other places.
+    joined = join(manifest, content_by_digest)
+    if joined.is_err():
+        return Err(joined.unwrap_err())
+    decoded = decode(joined.unwrap())
+    if decoded.is_err():
+        findings = decoded.unwrap_err()
+        shown = '; '.join(map(format_finding, findings[:_FINDINGS_SHOWN]))
+        return Err(f'{len(findings)} findings: {shown}')
+    document = decoded.unwrap()
+    for field in ('version', 'parent'):
+        if cast(Any, document)[field] != cast(Any, manifest)[field]:
+            return Err(f'document and manifest differ in {field}')
+    return Ok(Assembly(document, {}))
+
+
+def _from_chunks(
+    manifest: Manifest,
+    content_by_digest: Mapping[str, bytes],
+    known: EntriesByChunk,
+) -> Assembly | None:
+    groups = _digests_by_section(manifest, content_by_digest)
+    if groups is None:
+        return None
+    entries_by_chunk: EntriesByChunk = {}
+    document: dict[str, Any] = {
+        'version': manifest['version'],
+        'parent': manifest['parent'],
+    }
+    for section, digests in groups.items():
+        for digest in digests:
+            chunk = section, digest
+            entries = known.get(chunk) or decode_entries(
+                section, _lines(content_by_digest[digest])
+            )
+            if not entries:
+                return None
+            entries_by_chunk[chunk] = entries
+        document[section] = list(
+            chain.from_iterable(
+                entries_by_chunk[section, digest] for digest in digests
+            )
+        )
+    complete = cast(BundleDocument, document)
+    if any(reference_faults(complete)):
+        return None
+    return Assembly(complete, entries_by_chunk)
+
+
+def _lines(content: bytes) -> bytes:
+    return content.removesuffix(b'\n').removesuffix(b',')
+
+
+def _digests_by_section(
+    manifest: Manifest, content_by_digest: Mapping[str, bytes]
+) -> dict[str, list[str]] | None:
+    digests = [entry['digest'] for entry in manifest['chunks']]
+    head = head_line(manifest['version'], manifest['parent'])
+    if not digests or content_by_digest[digests[0]] != head:
+        return None
+    groups: dict[str, list[str]] = {}
+    start = 1
+    for section, closing in zip(SECTIONS, SECTION_LINES[1:], strict=True):
+        end = start
+        while end < len(digests) and content_by_digest[digests[end]] != closing:
+            end += 1
+        group = digests[start:end]
+        if end == len(digests) or not _commas_fit(group, content_by_digest):
+            return None
+        groups[section] = group
+        start = end + 1
+    return groups if start == len(digests) else None
+
+
+def _commas_fit(
+    digests: list[str], content_by_digest: Mapping[str, bytes]
+) -> bool:
+    if digests and content_by_digest[digests[-1]].endswith(_COMMA):
+        return False
+    return all(
+        content_by_digest[digest].endswith(_COMMA)
+        for digest, _ in pairwise(digests)
+    )
--- a/oleanderridge/config/document.py
+++ b/oleanderridge/config/document.py
@@ -2,37 +2,41 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
+from sys import intern
 from typing import Any, Final, cast
 
 import yaml
-from msgspec import DecodeError
+from msgspec import MsgspecError, ValidationError
+from msgspec import to_builtins as plain
 from msgspec.json import Decoder, Encoder
 from result import Err, Ok, Result
 
+from oleanderridge.compiled_schema import completed, struct_type
+from oleanderridge.config.rules import entry_faults, reference_faults
 from oleanderridge.findings import Finding
 from oleanderridge.generated.bundle import BundleDocument
 from oleanderridge.schema_check import (
-    Path,
+    Fault,
     fill_defaults,
-    line_of,
-    path_text,
+    located,
     read_yaml,
     schema_faults,
 )
 
 SECTIONS: Final = ('workspaces', 'services', 'routes')
 
-_Fault = tuple[Path, str]
 _ENCODER: Final = Encoder(order='deterministic')
 _DECODER: Final = Decoder()
-_METHODS: Final = frozenset(
-    ('GET', 'HEAD', 'OPTIONS', 'POST', 'PUT', 'DELETE', 'PATCH')
+
+# The lines around the sections in a canonical document; the first one also
+# carries version and parent.
+SECTION_LINES: Final = (
+    b'{,"workspaces":[\n',
+    b'],"services":[\n',
+    b'],"routes":[\n',
+    b']}\n',
 )
-# Sending one of these twice may run it twice, whatever the operator says.
-_NEVER_IDEMPOTENT: Final = frozenset(('POST', 'PATCH'))
-# Paths below this prefix belong to the proxy itself.
-_RESERVED_PREFIX: Final = '/.oleanderridge'
 
 
 def parse_source(
@@ -73,7 +77,7 @@
     """
     try:
         untyped = _DECODER.decode(content)
-    except (DecodeError, UnicodeDecodeError) as error:
+    except (MsgspecError, UnicodeDecodeError) as error:
         return Err([Finding('bundle', 0, '', f'not JSON: {error}')])
     return _checked(untyped, 'bundle', None)
 
@@ -81,19 +85,19 @@
 def _checked(
     content: Any, source: str, root: yaml.Node | None
 ) -> Result[BundleDocument, list[Finding]]:
-    faults = list(schema_faults('bundle', content))
-    document = None
-    if not faults:
-        document = cast(BundleDocument, fill_defaults('bundle', content))
-        faults = list(_rule_faults(document))
-    if document is None or faults:
-        return Err(
-            [
-                Finding(source, line_of(root, path), path_text(path), message)
-                for path, message in faults
-            ]
-        )
-    return Ok(document)
+    faults: list[Fault] = []
+    try:
+        document = completed('bundle', content)
+    except ValidationError:
+        faults = list(schema_faults('bundle', content))
+        document = None if faults else fill_defaults('bundle', content)
+    if document is not None:
+        for section in SECTIONS:
+            faults.extend(entry_faults(section, document[section]))
+        faults.extend(reference_faults(document))
+    if faults:
+        return Err(located(source, root, faults))
+    return Ok(cast(BundleDocument, document))
 
 
 def validate(document: BundleDocument, source: str) -> list[Finding]:
@@ -114,6 +118,25 @@
     return _checked(document, source, None).err() or []
 
 
+def head_line(version: int, parent: str) -> bytes:
+    """Return the first line of a canonical document.
+
+    Parameters
+    ----------
+    version : int
+        Version of the bundle.
+    parent : str
+        Digest of the previous manifest or empty.
+
+    Returns
+    -------
+    bytes
+        The line up to the first section's opening bracket.
+    """
+    head = _ENCODER.encode({'version': version, 'parent': parent})
+    return b'%s%s' % (head[:-1], SECTION_LINES[0][1:])
+
+
 def canonical(document: BundleDocument) -> bytes:
     """Return the JSON form that is split into chunks and signed.
 
@@ -130,16 +153,42 @@
     bytes
         UTF-8 JSON; equal documents have equal bytes.
     """
-    head = _ENCODER.encode(
-        {'version': document['version'], 'parent': document['parent']}
-    )
-    parts = [head[:-1]]
-    for section in SECTIONS:
-        entries = cast(list[dict[str, Any]], cast(Any, document)[section])
-        ordered = sorted(entries, key=_ORDER_BY_SECTION[section])
-        lines = b',\n'.join(map(_ENCODER.encode, ordered))
-        parts.append(b',"%s":[\n%s\n]' % (section.encode(), lines))
-    return b'%s}\n' % b''.join(parts)
+    complete = completed('bundle', document)
+    parts = [head_line(document['version'], document['parent'])]
+    for section, next_line in zip(SECTIONS, SECTION_LINES[1:], strict=True):
+        entries = sorted(complete[section], key=_ORDER_BY_SECTION[section])
+        lines = b',\n'.join(map(_ENCODER.encode, entries))
+        parts.extend((lines, b'\n' if lines else b'', next_line))
+    return b''.join(parts)
+
+
+def decode_entries(section: str, lines: bytes) -> list[Any] | None:
+    """Return the entries in some lines of a canonical document.
+
+    Parameters
+    ----------
+    section : str
+        The section that the lines belong to.
+    lines : bytes
+        Whole lines, without the comma after the last entry.
+
+    Returns
+    -------
+    list of dict or None
+        Complete entries, defaults filled in; None when any is invalid.
+    """
+    try:
+        typed = _DECODER_BY_SECTION[section].decode(b'[%s]' % lines)
+    except (MsgspecError, UnicodeDecodeError):
+        return None
+    entries: list[Any] = plain(typed)
+    if section == 'workspaces':
+        for workspace in entries:
+            # Few distinct names stand in tens of thousands of entries.
+            workspace['cell'] = intern(workspace['cell'])
+    if any(entry_faults(section, entries)):
+        return None
+    return entries
 
 
 def _name_of(entry: dict[str, Any]) -> str:
@@ -148,7 +197,7 @@
 
 
 def _route_order(route: dict[str, Any]) -> tuple[str, list[str]]:
-    return route['prefix'], sorted(route.get('methods', ()))
+    return route['prefix'], sorted(route['methods'])
 
 
 _ORDER_BY_SECTION: Final[dict[str, Callable[[dict[str, Any]], Any]]] = {
@@ -156,83 +205,8 @@
     'services': _name_of,
     'routes': _route_order,
 }
-
-
-def _rule_faults(document: BundleDocument) -> Iterator[_Fault]:
-    yield from _workspace_faults(document)
-    yield from _service_faults(document)
-    yield from _route_faults(document)
-
-
-def _workspace_faults(document: BundleDocument) -> Iterator[_Fault]:
-    names: dict[str, int] = {}
-    owner_by_hash: dict[str, str] = {}
-    for position, workspace in enumerate(document['workspaces']):
-        path: Path = ('workspaces', position)
-        name = workspace['name']
-        if names.setdefault(name, position) != position:
-            yield (*path, 'name'), f'workspace {name} is defined twice'
-        for place, key_hash in enumerate(workspace['key_hashes']):
-            owner = owner_by_hash.setdefault(key_hash, name)
-            if owner != name:
-                yield (
-                    (*path, 'key_hashes', place),
-                    f'the key of workspace {name} also belongs to {owner}',
-                )
-
-
-def _service_faults(document: BundleDocument) -> Iterator[_Fault]:
-    names: dict[str, int] = {}
-    service_by_target: dict[str, str] = {}
-    for position, service in enumerate(document['services']):
-        path: Path = ('services', position)
-        name = service['name']
-        if names.setdefault(name, position) != position:
-            yield (*path, 'name'), f'service {name} is defined twice'
-        for place, target in enumerate(service['targets']):
-            owner = service_by_target.get(target['name'])
-            if owner is not None:
-                yield (
-                    (*path, 'targets', place, 'name'),
-                    f'target {target["name"]} is also in service {owner}',
-                )
-            service_by_target[target['name']] = name
-        policy = cast(dict[str, float], service.get('health', {}))
-        if policy['ejection_max_s'] < policy['ejection_s']:
-            yield (
-                (*path, 'health', 'ejection_max_s'),
-                f'{policy["ejection_max_s"]} must not be below ejection_s '
-                f'{policy["ejection_s"]}',
-            )
-
-
-def _route_faults(document: BundleDocument) -> Iterator[_Fault]:
-    services = {service['name'] for service in document['services']}
-    workspaces = {workspace['name'] for workspace in document['workspaces']}
-    taken: dict[tuple[str, str], int] = {}
-    for position, route in enumerate(document['routes']):
-        path: Path = ('routes', position)
-        if route['service'] not in services:
-            yield (*path, 'service'), f'no service {route["service"]}'
-        for place, name in enumerate(route.get('workspaces', ())):
-            if name not in workspaces:
-                yield (*path, 'workspaces', place), f'no workspace {name}'
-        if f'{route["prefix"]}/'.startswith(f'{_RESERVED_PREFIX}/'):
-            yield (*path, 'prefix'), f'{_RESERVED_PREFIX} is reserved'
-        for method in route['methods'] or ('*',):
-            other = taken.setdefault((route['prefix'], method), position)
-            if other != position:
-                yield (
-                    (*path, 'prefix'),
-                    f'{method} {route["prefix"]} is also routes[{other}]',
-                )
-        yield from _method_faults(path, cast(dict[str, Any], route))
-
-
-def _method_faults(path: Path, route: dict[str, Any]) -> Iterator[_Fault]:
-    for field in ('methods', 'idempotent_methods'):
-        for place, method in enumerate(route[field]):
-            if method not in _METHODS:
-                yield (*path, field, place), f'unknown method {method!r}'
-            elif field != 'methods' and method in _NEVER_IDEMPOTENT:
-                yield (*path, field, place), f'{method} is never idempotent'
+_DECODER_BY_SECTION: Final = {
+    'workspaces': Decoder(list[struct_type('bundle', 'Workspace')]),  # type: ignore[misc]
+    'services': Decoder(list[struct_type('bundle', 'Service')]),  # type: ignore[misc]
+    'routes': Decoder(list[struct_type('bundle', 'Route')]),  # type: ignore[misc]
+}
--- a/oleanderridge/config/store.py
+++ b/oleanderridge/config/store.py
@@ -3,23 +3,26 @@
 from __future__ import annotations
 
 from collections.abc import Collection, Mapping
-from typing import Final, NamedTuple
+from typing import Any, Final, NamedTuple
 
 from msgspec import ValidationError, convert
 from result import Err, Ok, Result
 
-from oleanderridge.config.chunks import CHUNK_LIMIT_BYTES, digest_of, join
-from oleanderridge.config.document import decode
+from oleanderridge.config.assembly import Assembly, EntriesByChunk, assemble
+from oleanderridge.config.chunks import CHUNK_LIMIT_BYTES, digest_of
 from oleanderridge.config.signing import manifest_digest, verify
-from oleanderridge.findings import format_finding
 from oleanderridge.generated.bundle import BundleDocument
 from oleanderridge.generated.messages import Manifest
 
-# The largest bundle of the two-year scale is about 20 MB; the limit leaves
-# room for growth and keeps a faulty manifest from filling the memory.
-BUNDLE_LIMIT_BYTES: Final = 48_000_000
+# A bundle of the two-year scale has about 18 MB; the limits leave room for
+# growth and keep a faulty manifest from filling the memory.
+BUNDLE_LIMIT_BYTES: Final = 32_000_000
+CHUNKS_MAX: Final = 10_000
 CONFLICTS_KEPT: Final = 16
-_FINDINGS_SHOWN: Final = 5
+REFUSED_KEPT: Final = 16
+# Earlier documents share all unchanged entries with the accepted one; at
+# 88,000 workspaces each still costs about 1 MB.
+PREVIOUS_MAX: Final = 16
 
 
 class AcceptedBundle(NamedTuple):
@@ -48,24 +51,40 @@
 class _Pending:
     """A verified manifest whose chunks are being collected."""
 
-    def __init__(self, manifest: Manifest, digest: str) -> None:
+    def __init__(
+        self, manifest: Manifest, digest: str, at_hand: Mapping[str, bytes]
+    ) -> None:
         self.manifest = manifest
+        self.version = manifest['version']
         self.digest = digest
-        self.size_by_digest = {
-            entry['digest']: entry['size'] for entry in manifest['chunks']
-        }
         self.content_by_digest: dict[str, bytes] = {}
-
-    def missing(self) -> tuple[str, ...]:
-        return tuple(
-            digest
-            for digest in self.size_by_digest
-            if digest not in self.content_by_digest
-        )
+        self.missing: dict[str, int] = {}
+        for entry in manifest['chunks']:
+            content = at_hand.get(entry['digest'])
+            if content is None or len(content) != entry['size']:
+                self.missing[entry['digest']] = entry['size']
+            else:
+                self.content_by_digest[entry['digest']] = content
+
+    def add(self, digest: str, content: bytes) -> bool:
+        if len(content) != self.missing[digest]:
+            return False
+        self.content_by_digest[digest] = content
+        self.missing.pop(digest)
+        return True
+
+    def offer(self) -> Offer:
+        message = f'version {self.version} needs {len(self.missing)} chunks'
+        return Offer('wanted', message, tuple(self.missing))
 
 
 class BundleStore:
-    """Holds the accepted bundle and at most one that is being fetched.
+    """Holds the accepted bundle and at most two that are being fetched.
+
+    The two are the newest and the one that was offered last: when the
+    chunks of the newest cannot be had, for instance since the platform has
+    failed in between, a lower version that the peers hold is accepted
+    meanwhile.
 
     Parameters
     ----------
@@ -78,8 +97,9 @@
         self.previous: dict[int, AcceptedBundle] = {}
         self.conflicts: list[str] = []
         self._trusted = frozenset(trusted_keys)
-        self._pending: _Pending | None = None
-        self._refused_digest = ''
+        self._pending: tuple[_Pending, ...] = ()
+        self._entries: EntriesByChunk = {}
+        self._refused: list[str] = []
 
     def offer_manifest(self, manifest: Manifest) -> Offer:
         """Take in a manifest from the platform or a peer.
@@ -95,64 +115,18 @@
             ``wanted`` with the chunks to fetch, unless it is refused or
             completed from chunks at hand.
         """
-        checked = _check_manifest(manifest, self._trusted)
+        checked = _checked_manifest(manifest, self._trusted)
         if checked.is_err():
             return Offer('invalid', checked.unwrap_err(), ())
-        digest = checked.unwrap()
-        refusal = self._refusal(manifest, digest)
+        typed = checked.unwrap()
+        digest = manifest_digest(typed)
+        refusal = self._refusal(typed['version'], digest)
         if refusal is not None:
             return refusal
-        if self._pending is None or self._pending.digest != digest:
-            self._pending = self._start(manifest, digest)
-        return self._progress(self._pending)
-
-    def _refusal(self, manifest: Manifest, digest: str) -> Offer | None:
-        version = manifest['version']
-        if self.accepted is not None:
-            held = self.accepted.version, self.accepted.digest
-            refusal = self._compare(version, digest, held)
-            if refusal is not None:
-                return refusal
-        if self._pending is not None and self._pending.digest != digest:
-            held = self._pending.manifest['version'], self._pending.digest
-            refusal = self._compare(version, digest, held)
-            if refusal is not None:
-                return refusal
-        if digest == self._refused_digest:
-            return Offer('invalid', f'version {version} was refused before', ())
-        return None
-
-    def _compare(
-        self, version: int, digest: str, held: tuple[int, str]
-    ) -> Offer | None:
-        held_version, held_digest = held
-        if version > held_version:
-            return None
-        if version < held_version:
-            return Offer('older', f'version {held_version} is known', ())
-        if digest == held_digest:
-            return Offer('same', f'version {version} is accepted', ())
-        message = (
-            f'version {version} has digest {held_digest} here and '
-            f'{digest} in the offer'
-        )
-        if message not in self.conflicts:
-            self.conflicts.append(message)
-            del self.conflicts[:-CONFLICTS_KEPT]
-        return Offer('conflict', message, ())
-
-    def _start(self, manifest: Manifest, digest: str) -> _Pending:
-        at_hand: dict[str, bytes] = {}
-        if self._pending is not None:
-            at_hand.update(self._pending.content_by_digest)
-        if self.accepted is not None:
-            at_hand.update(self.accepted.content_by_digest)
-        pending = _Pending(manifest, digest)
-        for chunk_digest, size in pending.size_by_digest.items():
-            content = at_hand.get(chunk_digest)
-            if content is not None and len(content) == size:
-                pending.content_by_digest[chunk_digest] = content
-        return pending
+        pending = self._pending_for(typed, digest)
+        if pending.missing:
+            return pending.offer()
+        return self._complete(pending)
 
     def offer_chunk(self, digest: str, content: bytes) -> Offer:
         """Take in a chunk from the platform or a peer.
@@ -167,38 +141,110 @@
         Returns
         -------
         Offer
-            ``accepted`` when it completes the bundle, ``wanted`` while
+            ``accepted`` when it completes a bundle, ``wanted`` while
             others are missing, ``unrelated`` when nothing needs it.
         """
-        pending = self._pending
-        if pending is None or digest not in pending.size_by_digest:
+        takers = [
+            pending for pending in self._pending if digest in pending.missing
+        ]
+        if not takers:
             return Offer('unrelated', f'chunk {digest[:64]} is not wanted', ())
-        if digest not in pending.content_by_digest:
-            size = pending.size_by_digest[digest]
-            if len(content) != size or digest_of(content) != digest:
-                return Offer(
-                    'invalid',
-                    f'chunk {digest} has other content',
-                    pending.missing(),
-                )
-            pending.content_by_digest[digest] = content
-        return self._progress(pending)
-
-    def _progress(self, pending: _Pending) -> Offer:
-        missing = pending.missing()
-        version = pending.manifest['version']
-        if missing:
-            message = f'version {version} needs {len(missing)} chunks'
-            return Offer('wanted', message, missing)
-        self._pending = None
-        bundle = _build(pending)
-        if bundle.is_err():
-            self._refused_digest = pending.digest
-            return Offer('invalid', bundle.unwrap_err(), ())
+        whole = digest_of(content) == digest
+        if not whole or not all(
+            pending.add(digest, content) for pending in takers
+        ):
+            message = f'chunk {digest} has other content'
+            return Offer('invalid', message, tuple(takers[0].missing))
+        complete = [pending for pending in takers if not pending.missing]
+        return self._complete(complete[0]) if complete else takers[0].offer()
+
+    def _refusal(self, version: int, digest: str) -> Offer | None:
+        if digest in self._refused:
+            return Offer('invalid', f'version {version} was refused before', ())
+        for pending in self._pending:
+            if pending.version == version and pending.digest != digest:
+                self._note_conflict(version, pending.digest, digest)
+        held = self.accepted
+        if held is None or version > held.version:
+            return None
+        if version < held.version:
+            return Offer('older', f'version {held.version} is accepted', ())
+        if digest == held.digest:
+            return Offer('same', f'version {version} is accepted', ())
+        message = self._note_conflict(version, held.digest, digest)
+        return Offer('conflict', message, ())
+
+    def _note_conflict(self, version: int, held: str, offered: str) -> str:
+        message = (
+            f'version {version} has digest {held} here and {offered} in '
+            'an offer'
+        )
+        if message not in self.conflicts:
+            self.conflicts.append(message)
+            del self.conflicts[:-CONFLICTS_KEPT]
+        return message
+
+    def _pending_for(self, manifest: Manifest, digest: str) -> _Pending:
+        offered = None
+        at_hand: dict[str, bytes] = {}
+        for pending in self._pending:
+            at_hand.update(pending.content_by_digest)
+            if pending.digest == digest:
+                offered = pending
+        if self.accepted is not None:
+            at_hand.update(self.accepted.content_by_digest)
+        if offered is None:
+            offered = _Pending(manifest, digest, at_hand)
+        newest = max((*self._pending, offered), key=_version_of)
+        self._pending = (offered,) if newest is offered else (newest, offered)
+        return offered
+
+    def _complete(self, pending: _Pending) -> Offer:
+        assembled = assemble(
+            pending.manifest, pending.content_by_digest, self._entries
+        )
+        if assembled.is_err():
+            self._refused.append(pending.digest)
+            del self._refused[:-REFUSED_KEPT]
+            self._pending = tuple(
+                other for other in self._pending if other is not pending
+            )
+            return Offer('invalid', assembled.unwrap_err(), ())
+        self._swap(pending, assembled.unwrap())
+        return Offer('accepted', f'version {pending.version} is accepted', ())
+
+    def _swap(self, pending: _Pending, assembly: Assembly) -> None:
         if self.accepted is not None:
-            self.previous[self.accepted.version] = self.accepted
-        self.accepted = bundle.unwrap()
-        return Offer('accepted', f'version {version} is accepted', ())
+            self._keep_previous(self.accepted)
+        self.accepted = AcceptedBundle(
+            version=pending.version,
+            digest=pending.digest,
+            document=assembly.document,
+            manifest=pending.manifest,
+            content_by_digest=pending.content_by_digest,
+        )
+        self._entries = assembly.entries_by_chunk
+        self._pending = tuple(
+            other for other in self._pending if other.version > pending.version
+        )
+
+    def _keep_previous(self, bundle: AcceptedBundle) -> None:
+        # Peers are served from the accepted bundle only.
+        self.previous[bundle.version] = bundle._replace(content_by_digest={})
+        distinct = {id(kept.document) for kept in self.previous.values()}
+        if len(distinct) > PREVIOUS_MAX:
+            self._merge_oldest()
+
+    def _merge_oldest(self) -> None:
+        kept = sorted(self.previous.values(), key=_version_of)
+        oldest = kept[0].document
+        second = next(
+            bundle.document for bundle in kept if bundle.document is not oldest
+        )
+        merged = _common(oldest, second)
+        for bundle in kept:
+            if bundle.document is oldest or bundle.document is second:
+                self.previous[bundle.version] = bundle._replace(document=merged)
 
     def chunk(self, digest: str) -> bytes | None:
         """Return a chunk of the accepted bundle for a peer.
@@ -232,46 +278,47 @@
         }
 
 
-def _check_manifest(
+def _version_of(versioned: Any) -> int:
+    version: int = versioned.version
+    return version
+
+
+def _common(older: BundleDocument, newer: BundleDocument) -> BundleDocument:
+    """Return a document whose shares are no larger than in either one.
+
+    A workspace that differs is left out: it then has no share until both
+    versions have settled.
+    """
+    newer_by_name = {
+        workspace['name']: workspace for workspace in newer['workspaces']
+    }
+    workspaces = [
+        workspace
+        for workspace in older['workspaces']
+        if newer_by_name.get(workspace['name']) == workspace
+    ]
+    return {**newer, 'workspaces': workspaces}
+
+
+def _checked_manifest(
     manifest: Manifest, trusted: Collection[str]
-) -> Result[str, str]:
+) -> Result[Manifest, str]:
     try:
-        convert(manifest, Manifest)
+        typed = convert(manifest, Manifest)
     except ValidationError as error:
         return Err(f'manifest: {error}')
-    total = 0
-    for entry in manifest['chunks']:
-        if not 0 < entry['size'] <= CHUNK_LIMIT_BYTES:
-            return Err(f'manifest: a chunk of {entry["size"]} bytes')
-        total += entry['size']
-    if total > BUNDLE_LIMIT_BYTES:
-        return Err(f'manifest: {total} bytes in chunks')
-    verified = verify(manifest, trusted)
+    if typed['version'] < 1:
+        return Err(f'manifest: version {typed["version"]}')
+    if len(typed['chunks']) > CHUNKS_MAX:
+        return Err(f'manifest: {len(typed["chunks"])} chunks')
+    sizes = [entry['size'] for entry in typed['chunks']]
+    if not sizes or min(sizes) < 1 or max(sizes) > CHUNK_LIMIT_BYTES:
+        return Err(
+            f'manifest: a chunk is not of 1 to {CHUNK_LIMIT_BYTES} bytes'
+        )
+    if sum(sizes) > BUNDLE_LIMIT_BYTES:
+        return Err(f'manifest: {sum(sizes)} bytes in chunks')
+    verified = verify(typed, trusted)
     if verified.is_err():
         return Err(verified.unwrap_err())
-    return Ok(manifest_digest(manifest))
-
-
-def _build(pending: _Pending) -> Result[AcceptedBundle, str]:
-    manifest = pending.manifest
-    joined = join(manifest, pending.content_by_digest)
-    if joined.is_err():
-        return Err(joined.unwrap_err())
-    decoded = decode(joined.unwrap())
-    if decoded.is_err():
-        findings = decoded.unwrap_err()
-        shown = '; '.join(map(format_finding, findings[:_FINDINGS_SHOWN]))
-        return Err(f'{len(findings)} findings: {shown}')
-    document = decoded.unwrap()
-    for field in ('version', 'parent'):
-        if document[field] != manifest[field]:  # type: ignore[literal-required]
-            return Err(f'document and manifest differ in {field}')
-    return Ok(
-        AcceptedBundle(
-            version=manifest['version'],
-            digest=pending.digest,
-            document=document,
-            manifest=manifest,
-            content_by_digest=pending.content_by_digest,
-        )
-    )
+    return Ok(typed)
--- a/oleanderridge/schema_check.py
+++ b/oleanderridge/schema_check.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterator
+from collections.abc import Callable, Iterable, Iterator
 from functools import cache
 from importlib.resources import files
 from typing import Any, Final, NamedTuple
@@ -17,6 +17,7 @@
 
 Schema = dict[str, Any]
 Path = tuple[str | int, ...]
+Fault = tuple[Path, str]
 
 # Python's C-based YAML loader is about ten times faster; not every build of
 # PyYAML has it.
@@ -31,6 +32,12 @@
 _UNQUOTED: Final = frozenset(('key_hashes', 'token_hashes', 'trusted_keys'))
 
 
+_NUMBERS: Final[dict[str, Callable[[Any], Any]]] = {
+    'integer': int,
+    'number': float,
+}
+
+
 class YamlSource(NamedTuple):
     """A parsed YAML text that still knows the line of each value."""
 
@@ -208,7 +215,32 @@
     return f'${"".join(steps)}'
 
 
-def schema_faults(name: str, content: Any) -> Iterator[tuple[Path, str]]:
+def located(
+    source: str, root: yaml.Node | None, faults: Iterable[Fault]
+) -> list[Finding]:
+    """Return faults as findings with their lines.
+
+    Parameters
+    ----------
+    source : str
+        Name of the text.
+    root : yaml.Node or None
+        Root of the parsed text; None when there is no text.
+    faults : iterable of Fault
+        Path and message of each.
+
+    Returns
+    -------
+    list of Finding
+        In the order of the faults.
+    """
+    return [
+        Finding(source, line_of(root, path), path_text(path), message)
+        for path, message in faults
+    ]
+
+
+def schema_faults(name: str, content: Any) -> Iterator[Fault]:
     """Yield every violation of a schema.
 
     Parameters
@@ -236,7 +268,7 @@
     return tuple(error.absolute_path)
 
 
-def _faults_of(error: ValidationError) -> Iterator[tuple[Path, str]]:
+def _faults_of(error: ValidationError) -> Iterator[Fault]:
     path = _path(error)
     if error.validator == 'additionalProperties':
         known = error.schema.get('properties', {})
@@ -291,9 +323,11 @@
         return [_filled(entry_schema, definitions, entry) for entry in content]
     if isinstance(content, dict):
         return _filled_fields(schema, definitions, content)
-    if schema.get('type') == 'integer':
-        # The schema language counts 4.0 as an integer.
-        return int(content)
+    # The schema language counts 4.0 as an integer and 4 as a number.
+    return _NUMBERS.get(schema.get('type', ''), _unchanged)(content)
+
+
+def _unchanged(content: Any) -> Any:
     return content
 
 
