--- a/oleanderridge/config/assembly.py
+++ b/oleanderridge/config/assembly.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from itertools import chain, pairwise
 from typing import Any, Final, NamedTuple, cast
 
 from result import Err, Ok, Result
@@ -93,19 +92,16 @@
         'parent': manifest['parent'],
     }
     for section, digests in groups.items():
+        entries: list[Any] = []
+        document[section] = entries
         for digest in digests:
-            chunk = section, digest
-            entries = known.get(chunk) or decode_entries(
+            found = known.get((section, digest)) or decode_entries(
                 section, _lines(content_by_digest[digest])
             )
-            if not entries:
+            if not found:
                 return None
-            entries_by_chunk[chunk] = entries
-        document[section] = list(
-            chain.from_iterable(
-                entries_by_chunk[section, digest] for digest in digests
-            )
-        )
+            entries_by_chunk[section, digest] = found
+            entries.extend(found)
     complete = cast(BundleDocument, document)
     if any(reference_faults(complete)):
         return None
@@ -143,6 +139,5 @@
     if digests and content_by_digest[digests[-1]].endswith(_COMMA):
         return False
     return all(
-        content_by_digest[digest].endswith(_COMMA)
-        for digest, _ in pairwise(digests)
+        content_by_digest[digest].endswith(_COMMA) for digest in digests[:-1]
     )
--- a/oleanderridge/config/store.py
+++ b/oleanderridge/config/store.py
@@ -144,17 +144,20 @@
             ``accepted`` when it completes a bundle, ``wanted`` while
             others are missing, ``unrelated`` when nothing needs it.
         """
-        takers = [
+        wanting = [
             pending for pending in self._pending if digest in pending.missing
         ]
-        if not takers:
+        if not wanting:
             return Offer('unrelated', f'chunk {digest[:64]} is not wanted', ())
         whole = digest_of(content) == digest
-        if not whole or not all(
-            pending.add(digest, content) for pending in takers
-        ):
+        takers = [
+            pending
+            for pending in wanting
+            if whole and pending.add(digest, content)
+        ]
+        if not takers:
             message = f'chunk {digest} has other content'
-            return Offer('invalid', message, tuple(takers[0].missing))
+            return Offer('invalid', message, tuple(wanting[0].missing))
         complete = [pending for pending in takers if not pending.missing]
         return self._complete(complete[0]) if complete else takers[0].offer()
 
@@ -185,18 +188,20 @@
         return message
 
     def _pending_for(self, manifest: Manifest, digest: str) -> _Pending:
-        offered = None
+        for known in self._pending:
+            if known.digest == digest:
+                return known
         at_hand: dict[str, bytes] = {}
         for pending in self._pending:
             at_hand.update(pending.content_by_digest)
-            if pending.digest == digest:
-                offered = pending
         if self.accepted is not None:
             at_hand.update(self.accepted.content_by_digest)
-        if offered is None:
-            offered = _Pending(manifest, digest, at_hand)
+        offered = _Pending(manifest, digest, at_hand)
         newest = max((*self._pending, offered), key=_version_of)
-        self._pending = (offered,) if newest is offered else (newest, offered)
+        if newest is offered:
+            self._pending = (offered, *self._pending[-1:])
+        else:
+            self._pending = (newest, offered)
         return offered
 
     def _complete(self, pending: _Pending) -> Offer:
