--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -5,14 +5,11 @@
 import json
 import signal
 from collections.abc import Callable, Collection
+from hashlib import sha256
 from pathlib import Path
 from typing import Any, NamedTuple
 
 import yaml
-from oleanderridge.admission.keys import hash_key
-from oleanderridge.config import chunks as config_chunks
-from oleanderridge.config import document as config_document
-from oleanderridge.config import signing
 
 from bench.plans import (
     CHART_SERVICE,
@@ -22,13 +19,21 @@
 )
 from bench.processes import free_ports, wait_until
 from bench.surroundings import START_S, Surroundings
+from oleanderridge.config import chunks as config_chunks
+from oleanderridge.config import document as config_document
+from oleanderridge.config import signing
 from oleanderridge.findings import format_finding
 
-RESOLVE_PATH = '/.oleanderridge/resolve'
 _OK = 200
+_ADMIN_TOKEN = 'admin-token-of-the-bench'  # noqa: S105 - loopback only
 _SILENT = {'silence': True}
 
 
+def digest_of(secret: str) -> str:
+    """Return the hash under which keys and tokens are published."""
+    return sha256(secret.encode()).hexdigest()
+
+
 class HostPorts(NamedTuple):
     """Listening ports of one host."""
 
@@ -124,7 +129,7 @@
                     'name': workspace.name,
                     'rate': workspace.rate,
                     'burst': workspace.burst,
-                    'key_hashes': [hash_key(workspace.key)],
+                    'key_hashes': [digest_of(workspace.key)],
                 }
                 for workspace in self.plan.workspaces
             ],
@@ -227,7 +232,11 @@
             'host': host,
             'zone': self.zones[host],
             'caller': {'address': LOOPBACK, 'port': ports.caller},
-            'admin': {'address': LOOPBACK, 'port': ports.admin},
+            'admin': {
+                'address': LOOPBACK,
+                'port': ports.admin,
+                'token_hashes': [digest_of(_ADMIN_TOKEN)],
+            },
             'peer': {
                 'address': LOOPBACK,
                 'port': ports.peer,
@@ -289,6 +298,12 @@
         for link in self.link_ports:
             await self.around.link_faults(link)
 
+    async def status(self, host: str) -> Any:
+        """Return what the administration interface reports."""
+        url = f'http://{LOOPBACK}:{self.ports[host].admin}/v1/status'
+        headers = {'Authorization': f'Bearer {_ADMIN_TOKEN}'}
+        return await self.around.call('GET', url, headers=headers)
+
     async def wait_serving(self, host: str, timeout_s: float = START_S) -> None:
         """Wait until a host answers a keyed request.
 
