--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -53,7 +53,8 @@
         self.folder = folder
         self.names = (*plan.zone_by_host, *plan.spares)
         self.ports = {name: HostPorts(*free_ports(3)) for name in self.names}
-        self.zones = dict(plan.zone_by_host)
+        # A spare takes the zone of the host that it replaces.
+        self.zones = {**dict.fromkeys(plan.spares, ''), **plan.zone_by_host}
         self.listed = dict.fromkeys(plan.zone_by_host, 'live')
         self.targets_leaving: list[str] = []
         self.revision = 0
