--- a/oleanderridge/admission/shares.py
+++ b/oleanderridge/admission/shares.py
@@ -4,9 +4,8 @@
 
 from typing import Final
 
-from xxhash import xxh64_intdigest
-
 from oleanderridge.generated.messages import HostEntry, HostList
+from oleanderridge.rendezvous import rendezvous_score
 
 # Each minter's bucket holds at least this many tokens where the burst allows.
 _TOKENS_PER_MINTER: Final = 4
@@ -74,8 +73,7 @@
 
 
 def _score(workspace: str, entry: HostEntry) -> tuple[int, str]:
-    pair = f'{workspace}\n{entry["host"]}'.encode()
-    return xxh64_intdigest(pair), entry['host']
+    return rendezvous_score(workspace, entry['host'])
 
 
 def minters(
--- a/oleanderridge/config/relay.py
+++ b/oleanderridge/config/relay.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable
 from typing import Final, Protocol
 
-from xxhash import xxh3_64_intdigest
+from oleanderridge.rendezvous import rendezvous_score
 
 # A host that has heard of no watcher for so many seconds watches itself.
 WATCH_SILENCE_S: Final = 5
@@ -60,7 +60,7 @@
 
 
 def _weight(host: str) -> tuple[int, str]:
-    return xxh3_64_intdigest(f'watch {host}'), host
+    return rendezvous_score('watch', host)
 
 
 def should_watch(
--- a/oleanderridge/dispatch/broker.py
+++ b/oleanderridge/dispatch/broker.py
@@ -7,8 +7,6 @@
 from random import Random
 from typing import Any, NamedTuple, Protocol
 
-from xxhash import xxh64_intdigest
-
 from oleanderridge.dispatch.fair_queue import FairQueue, Waiting
 from oleanderridge.generated.bundle import Service
 from oleanderridge.generated.messages import (
@@ -19,6 +17,7 @@
 from oleanderridge.generated.settings import Settings
 from oleanderridge.health.evidence import LatencyAverage
 from oleanderridge.health.service import Candidate, ServiceHealth
+from oleanderridge.rendezvous import rendezvous_score
 from oleanderridge.wire import Outgoing
 
 Identity = tuple[str, str]
@@ -60,7 +59,7 @@
     ]
     return max(
         hosts,
-        key=lambda host: (xxh64_intdigest(f'{service}\0{host}'), host),
+        key=lambda host: rendezvous_score(service, host),
         default=None,
     )
 
--- a/oleanderridge/forward/idempotency.py
+++ b/oleanderridge/forward/idempotency.py
@@ -13,7 +13,6 @@
 from typing import Final, NamedTuple
 
 from result import Err, Ok, Result
-from xxhash import xxh64_intdigest
 
 from oleanderridge.generated.messages import (
     HostList,
@@ -24,6 +23,7 @@
 )
 from oleanderridge.generated.settings import Settings
 from oleanderridge.refusals import Refusal, refuse
+from oleanderridge.rendezvous import rendezvous_score
 
 CLAIMED: Final = 'claimed'
 IN_PROGRESS: Final = 'in-progress'
@@ -126,7 +126,7 @@
     ]
     return max(
         live,
-        key=lambda host: (xxh64_intdigest(f'{host}\0{key}'), host),
+        key=lambda host: rendezvous_score(key, host),
         default='',
     )
 
--- a/oleanderridge/runtime/caller_api.py
+++ b/oleanderridge/runtime/caller_api.py
@@ -12,8 +12,10 @@
 
 from oleanderridge.admission.keys import hash_key
 from oleanderridge.admission.shares import minters
-from oleanderridge.forward.forwarder import Forwarder, Reply, refusal_reply
+from oleanderridge.forward.forwarder import Forwarder
+from oleanderridge.forward.reply import Reply, refusal_reply
 from oleanderridge.forward.scrub import InboundRequest, scrub
+from oleanderridge.generated.bundle import Workspace
 from oleanderridge.refusals import refuse
 from oleanderridge.resolver.answers import resolve
 from oleanderridge.runtime.node import Node
@@ -179,20 +181,19 @@
     }
 
 
-def _minters_of(node: Node, workspace: str | None) -> tuple[str, ...]:
+def _minters_of(node: Node, workspace: Workspace | None) -> tuple[str, ...]:
     current = node.membership.current_list()
-    entry = node.index.workspace_by_name.get(workspace)
-    if current is None or entry is None:
+    if current is None or workspace is None:
         return ()
     return minters(
         current,
-        entry['name'],
-        entry['burst'],
+        workspace['name'],
+        workspace['burst'],
         node.settings['admission']['minters_max'],
     )
 
 
-def _workspace_of(node: Node, req: Request) -> str | None:
+def _workspace_of(node: Node, req: Request) -> Workspace | None:
     probe = InboundRequest(
         request_id='',
         method='GET',
@@ -208,4 +209,4 @@
     if not isinstance(scrubbed, Ok) or not scrubbed.ok_value.key:
         return None
     key_hash = hash_key(scrubbed.ok_value.key)
-    return node.index.workspace_by_key_hash.get(key_hash)
+    return node.index.workspace_by_hash.get(key_hash)
--- a/oleanderridge/runtime/host.py
+++ b/oleanderridge/runtime/host.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import signal
 from collections.abc import Coroutine
 from typing import Any
@@ -24,6 +25,8 @@
 from oleanderridge.runtime.refresh import refresh_shares
 from oleanderridge.runtime.tokens import TokenClient
 
+_LOGGER = logging.getLogger(__name__)
+
 _TICK_S = 0.02
 _SHARES_TICK_S = 0.5
 _DRAIN_POLL_S = 0.05
@@ -94,9 +97,9 @@
         claims = ClaimClient(node)
         cell = node.settings['cell']
         return Ports(
-            match=lambda method, path: match_route(node.index, method, path),
-            authorise=lambda route, key: authorise(
-                node.index,
+            match=match_route,
+            authorise=lambda index, route, key: authorise(
+                index,
                 route,
                 key,
                 cell,
@@ -108,6 +111,7 @@
             release=permits.release,
             claim=claims.claim,
             complete=claims.complete,
+            index=lambda: node.index,
             clock=node.clock,
         )
 
@@ -131,7 +135,7 @@
         self._tasks.discard(task)
         if task.cancelled() or task.exception() is None:
             return
-        self.node.note('task-failed', error=repr(task.exception()))
+        _LOGGER.error('task-failed', exc_info=task.exception())
         self._stopping.set()
 
     async def _tick(self) -> None:
--- a/oleanderridge/runtime/permits.py
+++ b/oleanderridge/runtime/permits.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
+from collections.abc import Collection
+from uuid import uuid4
 
 from result import Err, Ok, Result
 
@@ -52,7 +53,7 @@
         request_id: str,
         workspace: str,
         deadline: float,
-        excluded: frozenset[str],
+        excluded: Collection[str],
     ) -> Result[Permit, Refusal]:
         """Return a permit for one attempt at a target.
 
@@ -61,12 +62,12 @@
         service : str
             Service of the route.
         request_id : str
-            Unique for this attempt.
+            Request that the attempt belongs to.
         workspace : str
             Workspace for fair ordering.
         deadline : float
             Monotonic time in seconds after which a slot is of no use.
-        excluded : frozenset of str
+        excluded : collection of str
             Targets that were tried already.
 
         Returns
@@ -77,6 +78,9 @@
         node = self._node
         started = node.clock()
         broker = broker_host(service, node.members())
+        # Each attempt has an id of its own: a broker that missed the return
+        # of an earlier permit would repeat that one.
+        attempt_id = f'{request_id}.{uuid4().hex}'
         outcome = None
         if broker is not None:
             request = PermitRequest(
@@ -84,7 +88,7 @@
                 host=node.host,
                 incarnation=node.incarnation,
                 zone=node.settings['zone'],
-                request_id=request_id,
+                request_id=attempt_id,
                 service=service,
                 workspace=workspace,
                 deadline_ms=0,
@@ -94,7 +98,7 @@
         if outcome is None:
             outcome = await self._acquire_alone(
                 service,
-                request_id,
+                attempt_id,
                 deadline,
                 excluded,
             )
@@ -221,7 +225,7 @@
         service: str,
         request_id: str,
         deadline: float,
-        excluded: frozenset[str],
+        excluded: Collection[str],
     ) -> Result[Permit, Refusal]:
         node = self._node
         while node.clock() < deadline:
@@ -306,8 +310,7 @@
             outcome=outcome,
             latency_ms=latency_ms,
         )
-        with contextlib.suppress(RuntimeError):
-            node.send(broker, message)
+        node.send(broker, message)
 
 
 def _hands_back(reply: Message) -> bool:
--- a/oleanderridge/runtime/refresh.py
+++ b/oleanderridge/runtime/refresh.py
@@ -37,6 +37,7 @@
     if node.store.accepted is None:
         return
     now = node.clock()
+    node.buckets.note_lease(now, node.lease_until())
     versions = node.membership.unsettled_versions(now)
     node.store.forget_previous(versions)
     node.buckets.update(
