--- /dev/null
+++ b/oleanderridge/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Subcommands of the ``oleanderridge`` program."""
--- a/oleanderridge/config/chunks.py
+++ b/oleanderridge/config/chunks.py
@@ -72,6 +72,11 @@
     -------
     dict of str to bytes
         Content by digest, in order; joined they are the document.
+
+    Raises
+    ------
+    ValueError
+        The content, which is then no document, has too many equal parts.
     """
     chunks: dict[str, bytes] = {}
     for piece in _pieces(content):
@@ -82,13 +87,20 @@
 
 def _append(chunks: dict[str, bytes], part: bytes) -> None:
     # A mapping holds equal chunks once, so a part that repeats an earlier
-    # one is joined to its predecessor.
-    while digest_of(part) in chunks:
-        _, last = chunks.popitem()
-        part = last + part
-    if len(part) > CHUNK_LIMIT_BYTES:
-        raise ValueError('the content repeats itself and cannot be split')
-    chunks[digest_of(part)] = part
+    # one is joined to its predecessor, or cut in two when that is too long.
+    if digest_of(part) not in chunks:
+        chunks[digest_of(part)] = part
+        return
+    last = next(reversed(chunks))
+    if len(chunks[last]) + len(part) <= CHUNK_LIMIT_BYTES:
+        _append(chunks, chunks.pop(last) + part)
+        return
+    for cut in range(len(part) - 1, 0, -1):
+        halves = {digest_of(half): half for half in (part[:cut], part[cut:])}
+        if len(halves) > 1 and chunks.keys().isdisjoint(halves):
+            chunks.update(halves)
+            return
+    raise ValueError('the content repeats itself and cannot be split')
 
 
 def join(
--- a/oleanderridge/config/relay.py
+++ b/oleanderridge/config/relay.py
@@ -60,7 +60,7 @@
 
 
 def _weight(host: str) -> tuple[int, str]:
-    return xxh3_64_intdigest(f'watch {host}'), host
+    return xxh3_64_intdigest(f'watch {host}'.encode()), host
 
 
 def should_watch(
--- a/oleanderridge/config/store.py
+++ b/oleanderridge/config/store.py
@@ -158,8 +158,13 @@
         if not takers:
             message = f'chunk {digest} has other content'
             return Offer('invalid', message, tuple(wanting[0].missing))
-        complete = [pending for pending in takers if not pending.missing]
-        return self._complete(complete[0]) if complete else takers[0].offer()
+        # The newest comes first; when it turns out to be invalid, the same
+        # chunk may have completed the other one.
+        offer = takers[0].offer()
+        for pending in takers:
+            if not pending.missing and offer.status != 'accepted':
+                offer = self._complete(pending)
+        return offer
 
     def _refusal(self, version: int, digest: str) -> Offer | None:
         if digest in self._refused:
--- /dev/null
+++ b/tests/test_settings.py
@@ -0,0 +1,93 @@
+"""Settings are complete, or all their faults are reported together."""
+
+import pytest
+
+from oleanderridge.settings import load_settings, parse_settings
+
+_LINES = (
+    'host: host-a',
+    'zone: z1',
+    'caller: {address: 127.0.0.1, port: 7001}',
+    'admin: {address: 127.0.0.1, port: 7002}',
+    'peer: {address: 127.0.0.1, port: 7003}',
+    'platform: {url: "http://127.0.0.1:7004"}',
+    f'bundle: {{trusted_keys: [{"a" * 64}]}}',
+)
+
+
+def _parse(*more, without=''):
+    lines = [line for line in _LINES if not without or without not in line]
+    return parse_settings('\n'.join((*lines, *more)), 's.yaml')
+
+
+def test_absent_sections_get_their_defaults():
+    """Guards against a minimal settings file missing fields at run time."""
+    settings = _parse().unwrap()
+    assert settings['membership']['hold_s'] == 6
+    assert settings['forward']['keys_max'] == 20000
+    assert settings['peer']['seeds'] == []
+    assert 'otlp_url' not in settings['telemetry']
+
+
+@pytest.mark.parametrize(
+    ('line', 'path'),
+    [
+        ('membership: {hold_s: 4.03}', '$.membership.hold_s'),
+        ('membership: {lease_s: 2}', '$.membership.lease_s'),
+        ('membership: {suspect_s: 1}', '$.membership.suspect_s'),
+        ('admission: {grant_hold_s: 0.5}', '$.admission.grant_hold_s'),
+        (
+            'admission: {request_timeout_s: 0.5}',
+            '$.admission.request_timeout_s',
+        ),
+        ('telemetry: {log_level: loud}', '$.telemetry.log_level'),
+        ('forward: {attempt_max: 3}', '$.forward.attempt_max'),
+        ('zone: z2', '$.zone'),
+    ],
+)
+def test_fault_is_found_with_line_and_path(line, path):
+    """Guards against settings that break a guarantee's time bounds."""
+    (finding,) = _parse(line).unwrap_err()
+    assert (finding.line, finding.path) == (8, path)
+
+
+@pytest.mark.parametrize(
+    ('old', 'new', 'path'),
+    [
+        ('peer', 'peer: {address: host-a, port: 1}', '$.peer.address'),
+        ('peer', 'peer: {address: 127.0.0.1, port: 7001}', '$.peer.port'),
+        (
+            'peer',
+            'peer: {address: 127.0.0.1, port: 1, seeds: [host-b:1]}',
+            '$.peer.seeds[0]',
+        ),
+        ('platform', 'platform: {url: "http://platform:1"}', '$.platform.url'),
+    ],
+)
+def test_addresses_are_addresses(old, new, path):
+    """Guards against names, which hosts cannot resolve, and shared ports."""
+    (finding,) = _parse(new, without=old).unwrap_err()
+    assert (finding.line, finding.path) == (7, path)
+
+
+def test_all_findings_are_reported_and_keys_are_not_quoted():
+    """Guards against one finding per attempt and keys in logs."""
+    faulty = (
+        'bundle: {trusted_keys: [private]}',
+        'caller: {address: 127.0.0.1}',
+        'colour: red',
+    )
+    findings = parse_settings('\n'.join(faulty), 's.yaml').unwrap_err()
+    found = {(finding.line, finding.path) for finding in findings}
+    assert {
+        (1, '$.bundle.trusted_keys[0]'),
+        (2, '$.caller'),
+        (3, '$.colour'),
+    } <= found
+    assert 'private' not in str(findings)
+
+
+def test_unreadable_file_is_a_finding(tmp_path):
+    """Guards against a traceback when a host starts without its file."""
+    (finding,) = load_settings(tmp_path / 'absent.yaml').unwrap_err()
+    assert 'cannot be read' in finding.message
