--- a/oleanderridge/forward/client.py
+++ b/oleanderridge/forward/client.py
@@ -15,10 +15,12 @@
     ClientResponseError,
     ClientSession,
     ClientTimeout,
+    ConnectionTimeoutError,
     DummyCookieJar,
     TCPConnector,
     TraceConfig,
 )
+from aiohttp.connector import Connection
 from result import Err, Ok, Result
 from yarl import URL
 
@@ -31,6 +33,7 @@
 SHORT: Final = 'short'
 WRONG: Final = 'wrong'
 CONNECT_FAILED: Final = 'connect-failed'
+UNUSED: Final = 'unused'
 
 # A target has room for a few hundred connections from the whole fleet, so an
 # idle connection is kept only for the next request of a busy service.
@@ -104,6 +107,22 @@
         self._on_commit()
 
 
+class _Response(ClientResponse):
+    """A response whose connection can be closed after its release."""
+
+    async def start(self, connection: Connection) -> ClientResponse:
+        # aiohttp returns the connection to the pool as soon as the body has
+        # arrived, which is before the request id is checked.
+        self._transport = connection.transport
+        return await super().start(connection)
+
+    def discard(self) -> None:
+        """Close the connection, so that no other request meets its rest."""
+        self.close()
+        if self._transport is not None:
+            self._transport.abort()
+
+
 class TargetClient:
     """The HTTP connections to the targets.
 
@@ -168,10 +187,12 @@
         session = self._reusing if reuse else self._fresh
         if session is None:
             raise RuntimeError('the target client is not open')
-        response = await session.request(
+        response: Any = await session.request(
             request.method,
             URL(attempt.url, encoded=True),
-            headers=request.headers,
+            headers=[
+                (name, _utf8_text(value)) for name, value in request.headers
+            ],
             data=request.body or None,
             allow_redirects=False,
             timeout=ClientTimeout(
@@ -184,7 +205,7 @@
             return await _read(response, attempt, deadline)
         except BaseException:
             # Late bytes must not meet the next request on this connection.
-            response.close()
+            response.discard()
             raise
 
 
@@ -199,6 +220,7 @@
         auto_decompress=False,
         skip_auto_headers=_ADDED_HEADERS,
         trace_configs=[trace],
+        response_class=_Response,
     )
 
 
@@ -234,7 +256,9 @@
     response: ClientResponse, attempt: Attempt, deadline: float
 ) -> TargetAnswer:
     _check_identity(response, attempt)
-    headers = tuple(response.headers.items())
+    headers = tuple(
+        (name, _wire_text(value)) for name, value in response.headers.items()
+    )
     if not _has_body(response):
         response.release()
         return TargetAnswer(response.status, headers, b'', None)
@@ -252,6 +276,19 @@
     return TargetAnswer(response.status, headers, None, stream)
 
 
+def _utf8_text(value: str) -> str:
+    # The client writes UTF-8, while callers' headers are decoded as Latin-1.
+    if value.isascii():
+        return value
+    return value.encode('latin-1').decode('utf-8', 'replace')
+
+
+def _wire_text(value: str) -> str:
+    if value.isascii():
+        return value
+    return value.encode('utf-8', 'surrogateescape').decode('latin-1')
+
+
 def _check_identity(response: ClientResponse, attempt: Attempt) -> None:
     if response.status == _SWITCHING_PROTOCOLS:
         raise _WrongAnswerError('the target switched protocols')
@@ -268,15 +305,17 @@
 
 
 def _expected_length(response: ClientResponse) -> int | None:
-    coding = response.headers.get('Transfer-Encoding', '').lower()
-    if coding.split(',')[-1].strip() == 'chunked':
-        return None
-    length = response.headers.get('Content-Length')
-    if length is None:
+    codings = response.headers.getall('Transfer-Encoding', [])
+    lengths = set(response.headers.getall('Content-Length', []))
+    if not codings and not lengths:
         # The end of such a body is the end of the connection, which a
         # truncated body has as well.
         raise ClientPayloadError('the answer has no length and no chunks')
-    return int(length)
+    if not codings and len(lengths) == 1 and min(lengths).isdecimal():
+        return int(min(lengths))
+    if lengths or [coding.lower() for coding in codings] != ['chunked']:
+        raise _WrongAnswerError('the length of the answer is ambiguous')
+    return None
 
 
 def _complete(
@@ -294,7 +333,11 @@
 def _failure(error: Exception, committed: bool) -> AttemptFailure:
     outcome = RESET
     if not committed:
-        outcome = CONNECT_FAILED
+        connecting = not isinstance(error, TimeoutError) or isinstance(
+            error, ConnectionTimeoutError
+        )
+        # The caller's deadline says nothing about the target.
+        outcome = CONNECT_FAILED if connecting else UNUSED
     elif isinstance(error, TimeoutError):
         outcome = TIMEOUT
     elif isinstance(error, ClientPayloadError):
--- a/oleanderridge/forward/forwarder.py
+++ b/oleanderridge/forward/forwarder.py
@@ -65,6 +65,7 @@
     'short': 'target-short-answer',
     'wrong': 'target-wrong-answer',
     'connect-failed': 'connect-failed',
+    'unused': 'deadline',
 }
 _MS: Final = 1000
 _SERVER_ERROR: Final = 500
@@ -343,7 +344,8 @@
             if isinstance(outcome, Ok):
                 return outcome
             failure = outcome.err_value
-            excluded = (*excluded, permit.target)
+            if failure.outcome != 'unused':
+                excluded = (*excluded, permit.target)
             if failure.committed or last is None:
                 last = _failure_refusal(failure)
             if live.state.may_have_run and not live.idempotent:
@@ -372,7 +374,7 @@
         if limit <= 0 or live.withdrawn is not None:
             self._ports.release(permit, 'unused', 0)
             return Err(
-                AttemptFailure('connect-failed', False, 'the permit expired')
+                AttemptFailure('unused', False, 'the permit has expired')
             )
         try:
             sent = await self._client.send(
--- a/oleanderridge/forward/idempotency.py
+++ b/oleanderridge/forward/idempotency.py
@@ -126,7 +126,7 @@
     ]
     return max(
         live,
-        key=lambda host: (xxh64_intdigest(f'{host}\0{key}'), host),
+        key=lambda host: (xxh64_intdigest(f'{host}\0{key}'.encode()), host),
         default='',
     )
 
@@ -234,6 +234,12 @@
         now : float
             Monotonic seconds.
         """
+        if len(self._expiries) > 2 * self._keys_max:
+            # Freed keys leave their entries behind.
+            self._expiries = sorted(
+                (record.expires_at, name)
+                for name, record in self._records.items()
+            )
         while self._expiries and self._expiries[0][0] <= now:
             _, name = heappop(self._expiries)
             record = self._records.get(name)
--- a/oleanderridge/forward/reply.py
+++ b/oleanderridge/forward/reply.py
@@ -44,7 +44,10 @@
 
 
 class Reply(NamedTuple):
-    """What the caller gets; ``stream`` is None when ``body`` is whole."""
+    """What the caller gets; ``stream`` is None when ``body`` is whole.
+
+    Header values are text whose Latin-1 encoding is sent.
+    """
 
     status: int
     headers: Headers
@@ -67,8 +70,9 @@
     Headers
         Hop-by-hop headers removed, id and deadline set.
     """
+    kept = _without(request.headers, _SET_TOWARDS_TARGET)
     return (
-        *_without(request.headers, _SET_TOWARDS_TARGET),
+        *kept,
         ('Request-Id', request.request_id),
         ('Request-Deadline-Ms', str(max(1, int(left_s * _MS)))),
     )
@@ -96,7 +100,8 @@
     elif answer.body is not None and request.method != 'HEAD':
         dropped.add('content-length')
         added.append(('Content-Length', str(len(answer.body))))
-    headers = (*_without(answer.headers, dropped), *added)
+    kept = _without(answer.headers, dropped)
+    headers = (*kept, *added)
     return Reply(answer.status, headers, answer.body or b'', answer.stream)
 
 
--- a/oleanderridge/forward/scrub.py
+++ b/oleanderridge/forward/scrub.py
@@ -22,10 +22,14 @@
 _PRINTABLE: Final = re.compile('[!-~]+')
 _TARGET_FORM: Final = re.compile(r'/[!-"$-~]*')
 
-# Values that are still percent-encoded after this many rounds count as
-# containing the key: decoding without a bound takes quadratic time.
+# How often percent-encoding may be nested. Decoding without a bound takes
+# quadratic time, and no target decodes more than two times.
 _DECODE_ROUNDS: Final = 4
 
+# Decoding 4 MiB takes up to 0.3 s, in which no other request is served, so
+# longer bodies are searched for the text and base64 forms only.
+_DECODED_BODY_LIMIT: Final = 65536
+
 # The part of a base64 text that shorter keys fix is so short that ordinary
 # values contain it; 6 bytes fix at least 7 characters.
 _BASE64_MINIMUM: Final = 6
@@ -134,21 +138,23 @@
         yield core.translate(_URL_SAFE)
 
 
-def _contains(data: bytes, needles: tuple[bytes, ...]) -> bool:
+def _decodings(data: bytes) -> Iterator[bytes]:
     for _ in range(_DECODE_ROUNDS):
-        if any(needle in data for needle in needles):
-            return True
-        if b'%' not in data:
-            return False
-        decoded = unquote_to_bytes(data)
+        yield data
+        decoded = unquote_to_bytes(data) if b'%' in data else data
         if decoded == data:
-            return False
+            return
         data = decoded
-    return True
+
+
+def _contains(data: bytes, needles: tuple[bytes, ...]) -> bool:
+    return any(
+        needle in form for form in _decodings(data) for needle in needles
+    )
 
 
 def _holds(text: str, needles: tuple[bytes, ...]) -> bool:
-    return _contains(text.encode(), needles)
+    return bool(needles) and _contains(text.encode(), needles)
 
 
 def _clean_query(query: str, needles: tuple[bytes, ...]) -> str:
@@ -197,7 +203,13 @@
 
 
 def _in_header(name: str, value: str, needles: tuple[bytes, ...]) -> bool:
-    in_name = any(needle.lower() in name.encode() for needle in needles)
+    # Names reach us in lower case, whatever the caller wrote.
+    lowered = tuple(needle.lower() for needle in needles)
+    in_name = any(
+        needle in form.lower()
+        for form in _decodings(name.encode())
+        for needle in lowered
+    )
     return in_name or _holds(value, needles)
 
 
@@ -213,11 +225,6 @@
     texts = (clean.method, f'{clean.path}?{clean.query}', *kept)
     if any(_holds(text, needles) for text in texts):
         return True
-    return _in_body(clean.body, needles)
-
-
-def _in_body(body: bytes, needles: tuple[bytes, ...]) -> bool:
-    forms = [body]
-    if b'%' in body:
-        forms.append(unquote_to_bytes(body))
-    return any(needle in form for form in forms for needle in needles)
+    if len(clean.body) > _DECODED_BODY_LIMIT:
+        return any(needle in clean.body for needle in needles)
+    return _contains(clean.body, needles)
--- a/oleanderridge/forward/stream.py
+++ b/oleanderridge/forward/stream.py
@@ -6,7 +6,7 @@
 from collections.abc import AsyncIterator, Callable
 from typing import Final
 
-from aiohttp import ClientError, ClientPayloadError, ClientResponse
+from aiohttp import ClientError, ClientResponse
 
 OK: Final = 'ok'
 SHORT: Final = 'short'
@@ -152,8 +152,6 @@
         self._broken = self._broken or detail
         self._timer.cancel()
         if outcome != OK:
-            # Closing the connection does not wake a pending read.
-            self._response.content.set_exception(ClientPayloadError(detail))
             self._response.close()
         self.on_end(outcome)
 
--- /dev/null
+++ b/tests/test_idempotency.py
@@ -0,0 +1,250 @@
+"""The key register against a model that remembers everything."""
+
+import pytest
+from hypothesis import settings as limits
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from oleanderridge.forward.idempotency import (
+    KeyRegister,
+    parse_key,
+    plain_home,
+)
+
+LIFETIME = 10.0
+SETTINGS = {
+    'host': 'host-a',
+    'forward': {
+        'key_lifetime_s': LIFETIME,
+        'keys_max': 4,
+        'stored_answer_limit_bytes': 8,
+    },
+}
+
+
+def claim_message(key, claim_id, workspace='mill', fingerprint='f'):
+    return {
+        'kind': 'key_claim',
+        'host': 'host-b',
+        'claim_id': claim_id,
+        'key': key,
+        'workspace': workspace,
+        'fingerprint': fingerprint,
+        'bound_incarnation': 0,
+    }
+
+
+def outcome_message(key, claim_id, state, body=None, workspace='mill'):
+    message = claim_message(key, claim_id, workspace)
+    message.update(kind='key_outcome', state=state)
+    if body is not None:
+        message['answer'] = {'status': 200, 'headers': {}, 'body': body}
+    return message
+
+
+class RegisterMachine(RuleBasedStateMachine):
+    """Random claims, completions, time and restarts under two workspaces."""
+
+    def __init__(self):
+        super().__init__()
+        self.now = 0.0
+        self.incarnation = 0
+        self.claims = 0
+        self.open = []
+        self.claimed_at = {}
+        self.ended = {}
+        self.restart()
+
+    @rule()
+    def restart(self):
+        self.incarnation += 1
+        self.started = self.now
+        self.home_since = self.now
+        self.register = KeyRegister(SETTINGS, self.incarnation, self.now)
+
+    @rule(seconds=st.sampled_from([0.5, 3.0, 9.5, 11.0]))
+    def wait(self, seconds):
+        self.now += seconds
+        self.register.expire(self.now)
+
+    @rule()
+    def home_again(self):
+        self.home_since = self.now
+
+    @rule(
+        workspace=st.sampled_from(['mill', 'loom']),
+        unique=st.sampled_from('abcdef'),
+        back=st.sampled_from([None, -2, 0, 1, 8, 20]),
+        previous=st.booleans(),
+        leased=st.sampled_from([True, True, False]),
+        fingerprint=st.sampled_from(['f', 'f', 'f', 'g']),
+    )
+    def claim(self, workspace, unique, back, previous, leased, fingerprint):
+        key = unique
+        if back is not None:
+            issued = max(int(self.now) - back, 0)
+            key = f'host-a.{self.incarnation - previous}.{issued}.{unique}'
+        self.claims += 1
+        claim_id = f'c-{self.claims}'
+        message = claim_message(key, claim_id, workspace, fingerprint)
+        reply = self.register.claim(message, self.now, self.home_since, leased)
+        assert reply['claim_id'] == claim_id
+        name = (workspace, key)
+        state = reply['state']
+        if state == 'claimed':
+            self._check_claimed(name, back, leased, previous)
+            self.claimed_at[name] = self.now
+            self.ended.pop(name, None)
+            self.open.append((name, claim_id, fingerprint))
+            again = self.register.claim(message, self.now, 0, False)
+            assert again == reply
+        elif state == 'done':
+            assert self.ended[name] == (fingerprint, reply['answer']['body'])
+        elif state == 'in-progress':
+            assert (name, fingerprint) in {
+                (entry[0], entry[2]) for entry in self.open
+            }
+        elif state == 'full':
+            assert len(self.register) == SETTINGS['forward']['keys_max']
+
+    def _check_claimed(self, name, back, leased, previous):
+        if back is None:
+            assert leased
+            known = max(self.started, self.home_since)
+            assert self.now - known >= LIFETIME
+            last = self.claimed_at.get(name)
+            assert last is None or self.now - last >= LIFETIME
+        else:
+            assert name not in self.claimed_at
+            assert not previous
+            issued = int(name[1].split('.')[2])
+            assert issued <= self.now < issued + LIFETIME
+
+    @rule(
+        which=st.integers(0, 9),
+        state=st.sampled_from(['done', 'unknown', 'not-run']),
+        body=st.sampled_from([b'ok', b'larger than 8', None]),
+    )
+    def complete(self, which, state, body):
+        if not self.open:
+            return
+        name, claim_id, fingerprint = self.open.pop(which % len(self.open))
+        workspace, key = name
+        self.register.complete(
+            outcome_message(key, claim_id, state, body, workspace), self.now
+        )
+        if state == 'not-run':
+            self.claimed_at.pop(name, None)
+        elif state == 'done':
+            self.ended[name] = (fingerprint, body)
+
+    @rule(name=st.sampled_from([('mill', 'a'), ('loom', 'a')]))
+    def foreign_completion(self, name):
+        workspace, key = name
+        self.register.complete(
+            outcome_message(key, 'c-none', 'not-run', None, workspace),
+            self.now,
+        )
+
+    @invariant()
+    def is_bounded(self):
+        assert len(self.register) <= SETTINGS['forward']['keys_max']
+
+
+RegisterMachine.TestCase.settings = limits(
+    max_examples=200, stateful_step_count=40, deadline=None
+)
+TestRegister = RegisterMachine.TestCase
+TestRegister.__doc__ = 'Guards against a key that is claimed twice.'
+
+
+def full_register():
+    register = KeyRegister(SETTINGS, 1, -100)
+    for number in range(4):
+        message = claim_message(f'k{number}', f'c{number}')
+        assert register.claim(message, 0, -100, True)['state'] == 'claimed'
+    return register
+
+
+def test_full_register_refuses_new_keys_and_keeps_old_ones():
+    """Guards against forgetting a key in order to take a new one."""
+    register = full_register()
+    fresh = claim_message('k9', 'c9')
+    assert register.claim(fresh, 1, -100, True)['state'] == 'full'
+    old = claim_message('k0', 'c8')
+    assert register.claim(old, 1, -100, True)['state'] == 'in-progress'
+    assert register.claim(fresh, 10, -100, True)['state'] == 'claimed'
+
+
+def test_freed_keys_leave_no_trace():
+    """Guards against memory that grows with freed keys."""
+    register = KeyRegister(SETTINGS, 1, -100)
+    for number in range(100):
+        key = f'k{number}'
+        register.claim(claim_message(key, 'c'), 0, -100, True)
+        register.complete(outcome_message(key, 'c', 'not-run'), 0)
+    assert len(register) == 0
+    assert len(register._expiries) <= 10
+
+
+def test_other_workspace_and_other_request():
+    """Guards against keys shared by workspaces or by different requests."""
+    register = KeyRegister(SETTINGS, 1, -100)
+    first = claim_message('k', 'c1')
+    assert register.claim(first, 0, -100, True)['state'] == 'claimed'
+    other = claim_message('k', 'c2', fingerprint='g')
+    assert register.claim(other, 0, -100, True)['state'] == 'mismatch'
+    loom = claim_message('k', 'c3', workspace='loom')
+    assert register.claim(loom, 0, -100, True)['state'] == 'claimed'
+
+
+def test_bound_key_times():
+    """Guards against keys from the future and keys that were forgotten."""
+    register = KeyRegister(SETTINGS, 7, 0)
+
+    def state(key, now):
+        message = claim_message(key, f'c-{key}')
+        return register.claim(message, now, 1e9, False)['state']
+
+    assert state('host-a.7.21.u', 20.5) == 'mismatch'
+    assert state('host-a.7.10.u', 20) == 'unknown'
+    assert state('host-a.6.20.u', 20) == 'unknown'
+    assert state('host-b.7.20.u', 20) == 'unknown'
+    assert state('host-a.7.20.u', 20) == 'claimed'
+
+
+@pytest.mark.parametrize(
+    ('text', 'expected'),
+    [
+        ('order-1', ('', 0, 0, 'order-1')),
+        ('host-a.3.40.x.y', ('host-a', 3, 40, 'x.y')),
+        ('host-a.3.x', ('', 0, 0, 'host-a.3.x')),
+    ],
+)
+def test_key_forms(text, expected):
+    """Guards against a bound key that is taken for a plain one."""
+    assert parse_key(text).unwrap() == expected
+
+
+@pytest.mark.parametrize(
+    'text', ['', 'a b', 'ü', 'x' * 257, 'host-a.3.40.', 'host-a.3.40']
+)
+def test_malformed_keys_are_refused(text):
+    """Guards against keys that several requests share by mistake."""
+    assert parse_key(text).unwrap_err().reason == 'bad-request'
+
+
+def test_plain_home_is_stable_and_live():
+    """Guards against a home that moves when an unrelated host leaves."""
+    hosts = [
+        {'host': f'host-{number}', 'state': 'live'} for number in range(20)
+    ]
+    homes = {
+        key: plain_home({'hosts': hosts}, key) for key in map(str, range(200))
+    }
+    assert len(set(homes.values())) > 15
+    hosts[3]['state'] = 'leaving'
+    for key, home in homes.items():
+        now_home = plain_home({'hosts': hosts[::-1]}, key)
+        assert (now_home == home) == (home != 'host-3')
+    assert not plain_home({'hosts': []}, 'k')
