--- a/oleanderridge/forward/idempotency.py
+++ b/oleanderridge/forward/idempotency.py
@@ -126,11 +126,7 @@
     ]
     return max(
         live,
-<<<<<<< HEAD
         key=lambda host: rendezvous_score(key, host),
-=======
-        key=lambda host: (xxh64_intdigest(f'{host}\0{key}'.encode()), host),
->>>>>>> forward
         default='',
     )
 
--- a/oleanderridge/runtime/caller_api.py
+++ b/oleanderridge/runtime/caller_api.py
@@ -8,7 +8,7 @@
 from uuid import uuid4
 
 from falcon.asgi import App, Request, Response
-from result import Ok
+from result import Err
 
 from oleanderridge.admission.keys import hash_key
 from oleanderridge.admission.shares import minters
@@ -80,10 +80,10 @@
 ) -> Reply:
     if len(request.body) > node.settings['forward']['body_limit_bytes']:
         refusal = refuse('bad-request', 'the body is over the size limit')
-        return refusal_reply(refusal, request.request_id)
+        return refusal_reply(request, refusal)
     if node.index is None:
         refusal = refuse('not-ready', 'no bundle has been accepted', 1)
-        return refusal_reply(refusal, request.request_id)
+        return refusal_reply(request, refusal)
     handling = asyncio.ensure_future(forwarder.handle(request))
     leaving = asyncio.ensure_future(_disconnected(req.scope[_RECEIVE]))
     try:
@@ -114,19 +114,22 @@
         if not part:
             break
         body += part
+    return _head_of(req)._replace(body=bytes(body))
+
+
+def _head_of(req: Request) -> InboundRequest:
     scope = req.scope
     raw_path = scope.get('raw_path') or scope['path'].encode()
-    headers = tuple(
-        (name.decode('latin-1').lower(), value.decode('latin-1'))
-        for name, value in scope['headers']
-    )
     return InboundRequest(
         request_id=uuid4().hex,
         method=req.method,
         path=raw_path.decode('latin-1'),
         query=scope['query_string'].decode('latin-1'),
-        headers=headers,
-        body=bytes(body),
+        headers=tuple(
+            (name.decode('latin-1').lower(), value.decode('latin-1'))
+            for name, value in scope['headers']
+        ),
+        body=b'',
     )
 
 
@@ -159,14 +162,12 @@
 def _answer_resolve(node: Node, req: Request, resp: Response) -> None:
     service = req.get_param('service') or ''
     if node.index is None or not node.services_by_name:
-        _write_reply(
-            resp,
-            refusal_reply(refuse('not-ready', '', 1), uuid4().hex),
-        )
+        refusal = refuse('not-ready', 'no bundle has been accepted', 1)
+        _write_reply(resp, refusal_reply(_head_of(req), refusal))
         return
     if service and service not in node.services_by_name:
         refusal = refuse('no-route', f'there is no service {service!r}')
-        _write_reply(resp, refusal_reply(refusal, uuid4().hex))
+        _write_reply(resp, refusal_reply(_head_of(req), refusal))
         return
     workspace = _workspace_of(node, req)
     answer = resolve(
@@ -194,19 +195,8 @@
 
 
 def _workspace_of(node: Node, req: Request) -> Workspace | None:
-    probe = InboundRequest(
-        request_id='',
-        method='GET',
-        path='/',
-        query=req.scope['query_string'].decode('latin-1'),
-        headers=tuple(
-            (name.decode('latin-1').lower(), value.decode('latin-1'))
-            for name, value in req.scope['headers']
-        ),
-        body=b'',
-    )
-    scrubbed = scrub(probe)
-    if not isinstance(scrubbed, Ok) or not scrubbed.ok_value.key:
+    scrubbed = scrub(_head_of(req)._replace(path='/'))
+    if isinstance(scrubbed, Err) or not scrubbed.ok_value.key:
         return None
     key_hash = hash_key(scrubbed.ok_value.key)
     return node.index.workspace_by_hash.get(key_hash)
