Trace each hop and stop streams whose caller has gone

Cause: the server ignores bytes sent to a caller that has gone, so a download went on to its end; requests had one span for all hops. Change: the disconnect event cancels the request and abandons its stream; admit, claim, permit and target have spans and targets get the trace. Conclusion: a test with real processes is still to come.

--- a/oleanderridge/runtime/caller_api.py
+++ b/oleanderridge/runtime/caller_api.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from functools import partial
 from typing import Any, Final
 from uuid import uuid4
 
@@ -15,6 +16,7 @@
 from oleanderridge.forward.forwarder import Forwarder
 from oleanderridge.forward.reply import Reply, refusal_reply
 from oleanderridge.forward.scrub import InboundRequest, scrub
+from oleanderridge.forward.stream import TargetStream
 from oleanderridge.generated.bundle import Workspace
 from oleanderridge.refusals import refuse
 from oleanderridge.resolver.answers import resolve
@@ -86,17 +88,23 @@
         return refusal_reply(request, refusal)
     handling = asyncio.ensure_future(forwarder.handle(request))
     leaving = asyncio.ensure_future(_disconnected(req.scope[_RECEIVE]))
+    # The server ignores what is sent to a caller that has gone, so the
+    # request and its stream are told of it here.
+    leaving.add_done_callback(lambda _done: handling.cancel())
     try:
-        await asyncio.wait(
-            (handling, leaving),
-            return_when=asyncio.FIRST_COMPLETED,
-        )
-        if not handling.done():
-            handling.cancel()
-        return await handling
-    finally:
+        reply = await handling
+    except BaseException:
         leaving.cancel()
-        handling.cancel()
+        raise
+    if isinstance(reply.stream, TargetStream):
+        leaving.add_done_callback(partial(_abandon, reply.stream))
+    else:
+        leaving.cancel()
+    return reply
+
+
+def _abandon(stream: TargetStream, _leaving: asyncio.Future) -> None:
+    stream.abandon('the caller has gone')
 
 
 async def _disconnected(receive: Callable[[], Awaitable[dict]]) -> None:
--- a/oleanderridge/runtime/host.py
+++ b/oleanderridge/runtime/host.py
@@ -9,7 +9,6 @@
 from typing import Any
 
 from oleanderridge.admission.keys import authorise, match_route
-from oleanderridge.forward.client import TargetClient
 from oleanderridge.forward.forwarder import Forwarder, Ports
 from oleanderridge.generated.settings import Settings
 from oleanderridge.runtime.admin_api import build_admin_app
@@ -24,6 +23,8 @@
 from oleanderridge.runtime.probes import run_probes
 from oleanderridge.runtime.refresh import refresh_shares
 from oleanderridge.runtime.tokens import TokenClient
+from oleanderridge.runtime.traced_client import TracedClient
+from oleanderridge.telemetry.traces import traced
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -45,7 +46,7 @@
         self.node = Node(settings)
         self._peering = Peering(self.node)
         self._reader = PlatformReader(settings, self.node.metrics)
-        self._client = TargetClient(settings)
+        self._client = TracedClient(settings)
         self._forwarder = Forwarder(settings, self._client, self._ports())
         self._bundles = BundleSync(
             self.node,
@@ -105,11 +106,11 @@
                 cell,
             ),
             service=node.service,
-            admit=tokens.admit,
+            admit=traced('admit', tokens.admit),
             refund=tokens.refund,
-            acquire=permits.acquire,
+            acquire=traced('permit', permits.acquire),
             release=permits.release,
-            claim=claims.claim,
+            claim=traced('claim', claims.claim),
             complete=claims.complete,
             index=lambda: node.index,
             clock=node.clock,
--- a/oleanderridge/telemetry/traces.py
+++ b/oleanderridge/telemetry/traces.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Awaitable, Callable, Mapping
 from contextlib import AbstractContextManager
+from functools import wraps
+from typing import ParamSpec, TypeVar
 
 from opentelemetry import trace
 from opentelemetry.propagate import extract, inject
@@ -12,6 +14,8 @@
 from oleanderridge.generated.settings import Settings
 
 _TRACER_NAME = 'oleanderridge'
+_Params = ParamSpec('_Params')
+_ResultT = TypeVar('_ResultT')
 
 
 def configure_tracing(settings: Settings) -> None:
@@ -96,6 +100,36 @@
     )
 
 
+def traced(
+    name: str,
+    hop: Callable[_Params, Awaitable[_ResultT]],
+) -> Callable[_Params, Awaitable[_ResultT]]:
+    """Return a coroutine function that runs inside a span.
+
+    Parameters
+    ----------
+    name : str
+        Span name.
+    hop : callable
+        Coroutine function of one hop.
+
+    Returns
+    -------
+    callable
+        Takes and returns what ``hop`` does.
+    """
+
+    @wraps(hop)
+    async def wrapper(
+        *args: _Params.args,
+        **kwargs: _Params.kwargs,
+    ) -> _ResultT:
+        with hop_span(name):
+            return await hop(*args, **kwargs)
+
+    return wrapper
+
+
 def trace_headers() -> dict[str, str]:
     """Return the headers that carry the current trace to a target.
 
