--- a/oleanderridge/membership/joining.py
+++ b/oleanderridge/membership/joining.py
@@ -9,10 +9,14 @@
 
 
 class Joining(NamedTuple):
-    """What the decision to join depends on."""
+    """What the decision to join depends on; times in seconds.
 
-    others: Collection[str]
-    voters: int
+    ``electorates`` are the voters of the newest list, and the voters with
+    the leaving hosts, which know as much.
+    """
+
+    electorates: Collection[Collection[str]]
+    host: str
     uptime_s: float
     lease_s: float
     hold_s: float
@@ -20,25 +24,6 @@
     fleet_runs: bool
 
 
-def _is_up(record: PeerRecord, joining: Joining) -> bool:
-    latest = record.latest
-    if latest is None or latest['released']:
-        return False
-    return latest['joined'] or latest['uptime_s'] > joining.hold_s
-
-
-def _is_joined(record: PeerRecord) -> bool:
-    return record.latest is not None and record.latest['joined']
-
-
-def _acknowledged_for(
-    records: Collection[PeerRecord],
-    seconds: float,
-    now: float,
-) -> int:
-    return sum(record.first_acknowledged <= now - seconds for record in records)
-
-
 def may_join(
     joining: Joining,
     records: Mapping[str, PeerRecord],
@@ -55,7 +40,7 @@
     Parameters
     ----------
     joining : Joining
-        The other voters of the newest list, and the settings.
+        The hosts of the newest list, and the settings.
     records : mapping of str to PeerRecord
         Peers whose lists and bundle this host has adopted.
     now : float
@@ -68,18 +53,42 @@
     """
     if joining.uptime_s < joining.hold_s:
         return False
-    fresh = [
-        record
-        for host, record in records.items()
-        if host in joining.others
-        and record.heard_at >= now - joining.suspect_s
-        and _is_up(record, joining)
-    ]
-    needed = min(joining.voters // 2 + 1, len(joining.others))
+    wait_s = float(0)
     if joining.fleet_runs:
         wait_s = joining.hold_s + joining.lease_s
-        if _acknowledged_for(fresh, wait_s, now) == len(joining.others):
-            return True
-        joined = [record for record in fresh if _is_joined(record)]
-        return _acknowledged_for(joined, wait_s, now) >= needed
-    return _acknowledged_for(fresh, 0, now) >= needed
+    fresh = {
+        host: record
+        for host, record in records.items()
+        if record.heard_at >= now - joining.suspect_s
+        and record.first_acknowledged <= now - wait_s
+    }
+    up = {host for host in fresh if _is_up(fresh[host], joining)}
+    joined = {host for host in up if _is_joined(fresh[host])}
+    return all(
+        _suffices(hosts, joining, up, joined) for hosts in joining.electorates
+    )
+
+
+def _suffices(
+    hosts: Collection[str],
+    joining: Joining,
+    up: Collection[str],
+    joined: Collection[str],
+) -> bool:
+    others = {host for host in hosts if host != joining.host}
+    if others.issubset(up):
+        return True
+    needed = len(hosts) // 2 + 1
+    counted = joined if joining.fleet_runs else up
+    return len(others.intersection(counted)) >= needed
+
+
+def _is_up(record: PeerRecord, joining: Joining) -> bool:
+    latest = record.latest
+    if latest is None:
+        return False
+    return latest['joined'] or latest['uptime_s'] > joining.hold_s
+
+
+def _is_joined(record: PeerRecord) -> bool:
+    return record.latest is not None and record.latest['joined']
--- a/oleanderridge/membership/state.py
+++ b/oleanderridge/membership/state.py
@@ -308,6 +308,8 @@
             return News(
                 list_behind=False, bundle_behind=False, list_ahead=False
             )
+        if message['echo_incarnation'] > self._incarnation:
+            self._superseded = True
         record = self._record_of(message)
         if record is not None:
             uptime_s = now - self._started
@@ -643,11 +645,13 @@
     def _joins(self, now: float) -> bool:
         if self._list is None or self._host not in self._entries:
             return False
-        voters = self._weights[self._list['revision']]
         times = self._times
         joining = Joining(
-            others=voters.keys() - {self._host},
-            voters=len(voters),
+            electorates=(
+                self._weights[self._list['revision']].keys(),
+                _addresses(self._list, self._cell).keys(),
+            ),
+            host=self._host,
             uptime_s=now - self._started,
             lease_s=times['lease_s'],
             hold_s=times['hold_s'],
