--- a/oleanderridge/commands/bundle.py
+++ b/oleanderridge/commands/bundle.py
@@ -274,7 +274,8 @@
     # The same code as on a host decides.
     store = BundleStore(trusted)
     offer = store.offer_manifest(build.manifest)
-    for digest in offer.missing:
+    while offer.missing:
+        digest = offer.missing[0]
         offer = store.offer_chunk(digest, build.content_by_digest[digest])
     if store.accepted is None:
         return _fail(options, options.build, offer.message)
@@ -345,7 +346,7 @@
         'outcome': outcome,
         'version': manifest['version'],
         'digest': manifest_digest(manifest),
-        'chunks': len(manifest['chunks']),
+        'chunks': len(build.content_by_digest),
         'bytes': sum(map(len, build.content_by_digest.values())),
         'signer': manifest['signer'],
     }
--- a/oleanderridge/config/assembly.py
+++ b/oleanderridge/config/assembly.py
@@ -7,7 +7,7 @@
 
 from result import Err, Ok, Result
 
-from oleanderridge.config.chunks import join
+from oleanderridge.config.chunks import join, leaves
 from oleanderridge.config.document import (
     SECTION_LINES,
     SECTIONS,
@@ -115,7 +115,8 @@
 def _digests_by_section(
     manifest: Manifest, content_by_digest: Mapping[str, bytes]
 ) -> dict[str, list[str]] | None:
-    digests = [entry['digest'] for entry in manifest['chunks']]
+    listed = leaves(manifest['chunks'], content_by_digest)
+    digests = [entry['digest'] for entry in listed.unwrap_or([])]
     head = head_line(manifest['version'], manifest['parent'])
     if not digests or content_by_digest[digests[0]] != head:
         return None
--- a/oleanderridge/config/builds.py
+++ b/oleanderridge/config/builds.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import os
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from pathlib import Path
 from tempfile import NamedTemporaryFile
 from typing import Final, NamedTuple
@@ -13,10 +13,16 @@
 from msgspec.json import format as indent
 from result import Err, Ok, Result
 
-from oleanderridge.config.chunks import CHUNK_LIMIT_BYTES, digest_of, split
+from oleanderridge.config.chunks import (
+    CHUNK_LIMIT_BYTES,
+    digest_of,
+    leaves,
+    split,
+    top_level,
+)
 from oleanderridge.config.document import canonical
 from oleanderridge.generated.bundle import BundleDocument
-from oleanderridge.generated.messages import Manifest
+from oleanderridge.generated.messages import ChunkEntry, Manifest
 
 MANIFEST_NAME: Final = 'manifest.json'
 CHUNKS_NAME: Final = 'chunks'
@@ -48,10 +54,7 @@
     manifest: Manifest = {
         'version': document['version'],
         'parent': document['parent'],
-        'chunks': [
-            {'digest': digest, 'size': len(content)}
-            for digest, content in chunks.items()
-        ],
+        'chunks': top_level(chunks),
         'signer': '',
         'signature': '',
     }
@@ -138,17 +141,31 @@
     except (MsgspecError, UnicodeDecodeError) as error:
         return Err(f'{folder / MANIFEST_NAME}: {error}')
     contents: dict[str, bytes] = {}
-    for entry in manifest['chunks']:
+    fault = _read_chunks(folder, manifest['chunks'], contents)
+    if fault is None:
+        listed = leaves(manifest['chunks'], contents)
+        if listed.is_err():
+            return Err(f'{folder}: {listed.unwrap_err()}')
+        fault = _read_chunks(folder, listed.unwrap(), contents)
+    return Ok(Build(manifest, contents)) if fault is None else Err(fault)
+
+
+def _read_chunks(
+    folder: Path, entries: Iterable[ChunkEntry], contents: dict[str, bytes]
+) -> str | None:
+    for entry in entries:
         digest = entry['digest']
+        if digest in contents:
+            continue
         # The digest becomes part of a path, so its form is checked first.
         if len(digest) != 64 or not digest.isalnum():
-            return Err(f'{folder / MANIFEST_NAME}: {digest!r} is no digest')
+            return f'{folder / MANIFEST_NAME}: {digest!r} is no digest'
         chunk = folder / CHUNKS_NAME / digest
         if not chunk.is_file():
-            return Err(f'{chunk}: missing')
+            return f'{chunk}: missing'
         with chunk.open('rb') as stream:
             content = stream.read(CHUNK_LIMIT_BYTES + 1)
         if len(content) != entry['size'] or digest_of(content) != digest:
-            return Err(f'{chunk}: other content than the manifest states')
+            return f'{chunk}: other content than the manifest states'
         contents[digest] = content
-    return Ok(Build(manifest, contents))
+    return None
--- a/oleanderridge/config/signing.py
+++ b/oleanderridge/config/signing.py
@@ -11,6 +11,7 @@
 from nacl.signing import SigningKey, VerifyKey
 from result import Err, Ok, Result
 
+from oleanderridge.config.chunks import top_level
 from oleanderridge.generated.messages import ChunkEntry, Manifest
 
 # Keeps a signature over a manifest from being valid for anything else that
@@ -71,11 +72,7 @@
     ValueError
         The secret is not an Ed25519 key in hex.
     """
-    entries: list[ChunkEntry] = [
-        {'digest': digest, 'size': len(content)}
-        for digest, content in chunks.items()
-    ]
-    return sign_entries(version, parent, entries, secret)
+    return sign_entries(version, parent, top_level(chunks), secret)
 
 
 def sign_entries(
--- a/oleanderridge/config/store.py
+++ b/oleanderridge/config/store.py
@@ -2,17 +2,22 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection, Mapping
+from collections.abc import Collection, Iterable, Mapping
 from typing import Any, Final, NamedTuple
 
 from msgspec import ValidationError, convert
 from result import Err, Ok, Result
 
 from oleanderridge.config.assembly import Assembly, EntriesByChunk, assemble
-from oleanderridge.config.chunks import CHUNK_LIMIT_BYTES, digest_of
+from oleanderridge.config.chunks import (
+    CHUNK_LIMIT_BYTES,
+    digest_of,
+    index_entries,
+    is_index,
+)
 from oleanderridge.config.signing import manifest_digest, verify
 from oleanderridge.generated.bundle import BundleDocument
-from oleanderridge.generated.messages import Manifest
+from oleanderridge.generated.messages import ChunkEntry, Manifest
 
 # A bundle of the two-year scale has about 18 MB; the limits leave room for
 # growth and keep a faulty manifest from filling the memory.
@@ -59,20 +64,60 @@
         self.digest = digest
         self.content_by_digest: dict[str, bytes] = {}
         self.missing: dict[str, int] = {}
-        for entry in manifest['chunks']:
-            content = at_hand.get(entry['digest'])
-            if content is None or len(content) != entry['size']:
-                self.missing[entry['digest']] = entry['size']
-            else:
-                self.content_by_digest[entry['digest']] = content
+        self.fault = ''
+        self._at_hand = at_hand
+        self._bytes = 0
+        self._listed = 0
+        self._top = {entry['digest'] for entry in manifest['chunks']}
+        self._need(manifest['chunks'])
+
+    def _need(self, entries: Iterable[ChunkEntry]) -> None:
+        for entry in entries:
+            digest, size = entry['digest'], entry['size']
+            # A chunk that is listed twice also counts twice, since the
+            # document holds it twice.
+            self._bytes += size
+            self._listed += 1
+            self.fault = self.fault or self._limit_fault(size)
+            if self.fault:
+                return
+            if digest in self.content_by_digest or digest in self.missing:
+                continue
+            self.missing[digest] = size
+            content = self._at_hand.get(digest)
+            if content is not None:
+                self.add(digest, content)
+
+    def _limit_fault(self, size: int) -> str:
+        if not 0 < size <= CHUNK_LIMIT_BYTES:
+            return f'a chunk of {size} bytes'
+        if self._bytes > BUNDLE_LIMIT_BYTES:
+            return f'more than {BUNDLE_LIMIT_BYTES} bytes in chunks'
+        if self._listed > CHUNKS_MAX:
+            return f'more than {CHUNKS_MAX} chunks'
+        return ''
 
     def add(self, digest: str, content: bytes) -> bool:
         if len(content) != self.missing[digest]:
             return False
         self.content_by_digest[digest] = content
         self.missing.pop(digest)
+        if digest in self._top and is_index(content):
+            self._add_index(content)
         return True
 
+    def _add_index(self, content: bytes) -> None:
+        listed = index_entries(content)
+        entries = listed.unwrap_or([])
+        if any(entry['digest'] in self._top for entry in entries):
+            self.fault = 'an index chunk lists what the manifest lists'
+        else:
+            self.fault = self.fault or listed.err() or ''
+            self._need(entries)
+
+    def collected(self) -> bool:
+        return bool(self.fault) or not self.missing
+
     def offer(self) -> Offer:
         message = f'version {self.version} needs {len(self.missing)} chunks'
         return Offer('wanted', message, tuple(self.missing))
@@ -124,9 +169,9 @@
         if refusal is not None:
             return refusal
         pending = self._pending_for(typed, digest)
-        if pending.missing:
-            return pending.offer()
-        return self._complete(pending)
+        if pending.collected():
+            return self._complete(pending)
+        return pending.offer()
 
     def offer_chunk(self, digest: str, content: bytes) -> Offer:
         """Take in a chunk from the platform or a peer.
@@ -142,7 +187,8 @@
         -------
         Offer
             ``accepted`` when it completes a bundle, ``wanted`` while
-            others are missing, ``unrelated`` when nothing needs it.
+            others are missing, ``unrelated`` when nothing needs it. After
+            an index chunk more chunks are missing than before.
         """
         wanting = [
             pending for pending in self._pending if digest in pending.missing
@@ -162,7 +208,7 @@
         # chunk may have completed the other one.
         offer = takers[0].offer()
         for pending in takers:
-            if not pending.missing and offer.status != 'accepted':
+            if pending.collected() and offer.status != 'accepted':
                 offer = self._complete(pending)
         return offer
 
@@ -210,9 +256,11 @@
         return offered
 
     def _complete(self, pending: _Pending) -> Offer:
-        assembled = assemble(
-            pending.manifest, pending.content_by_digest, self._entries
-        )
+        assembled: Result[Assembly, str] = Err(pending.fault)
+        if not pending.fault:
+            assembled = assemble(
+                pending.manifest, pending.content_by_digest, self._entries
+            )
         if assembled.is_err():
             self._refused.append(pending.digest)
             del self._refused[:-REFUSED_KEPT]
@@ -319,15 +367,8 @@
         return Err(f'manifest: {error}')
     if typed['version'] < 1:
         return Err(f'manifest: version {typed["version"]}')
-    if len(typed['chunks']) > CHUNKS_MAX:
-        return Err(f'manifest: {len(typed["chunks"])} chunks')
-    sizes = [entry['size'] for entry in typed['chunks']]
-    if not sizes or min(sizes) < 1 or max(sizes) > CHUNK_LIMIT_BYTES:
-        return Err(
-            f'manifest: a chunk is not of 1 to {CHUNK_LIMIT_BYTES} bytes'
-        )
-    if sum(sizes) > BUNDLE_LIMIT_BYTES:
-        return Err(f'manifest: {sum(sizes)} bytes in chunks')
+    if not typed['chunks']:
+        return Err('manifest: no chunks')
     verified = verify(typed, trusted)
     if verified.is_err():
         return Err(verified.unwrap_err())
--- a/tests/bundle_samples.py
+++ b/tests/bundle_samples.py
@@ -47,8 +47,9 @@
 def deliver(store, build):
     """Offer a bundle and all chunks that the store asks for."""
     offer = store.offer_manifest(build.manifest)
-    for digest in offer.missing:
-        offer = store.offer_chunk(digest, build.content_by_digest[digest])
+    while offer.missing:
+        for digest in offer.missing:
+            offer = store.offer_chunk(digest, build.content_by_digest[digest])
     return offer
 
 
--- a/tests/test_document.py
+++ b/tests/test_document.py
@@ -265,7 +265,7 @@
     document,
     version=st.integers(1, 2**53 - 1),
     rate=st.floats(0.001, 1e6),
-    count=st.integers(0, 400),
+    count=st.integers(0, 400) | st.just(2500),
     routes=st.lists(_NAMES, unique=True).map(
         lambda names: [_route(f'/{name}"\\{name}') for name in names]
     ),
@@ -278,7 +278,8 @@
     """Guards against lost, reordered or differently decoded entries."""
     content = canonical(sample)
     chunks = split(content)
-    assert b''.join(chunks.values()) == content
+    signed = sign(sample['version'], '', chunks, KEYS.secret)
+    assert join(signed, chunks).unwrap() == content
     shuffled = {**sample, 'workspaces': list(sample['workspaces'])}
     rng.shuffle(shuffled['workspaces'])
     assert canonical(shuffled) == content
@@ -310,7 +311,6 @@
 def test_any_content_is_split_below_the_limit(content):
     """Guards against chunks above the platform's limit or merged repeats."""
     chunks = split(content)
-    assert b''.join(chunks.values()) == content
     assert all(0 < len(part) <= CHUNK_LIMIT_BYTES for part in chunks.values())
     manifest = sign(1, '', chunks, KEYS.secret)
     assert join(manifest, chunks).unwrap() == content
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -3,11 +3,12 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from oleanderridge.config.chunks import join
+from oleanderridge.config.chunks import digest_of, join
 from oleanderridge.config.document import decode
 from oleanderridge.config.signing import (
     generate_keypair,
     manifest_digest,
+    sign,
     sign_entries,
 )
 from oleanderridge.config.store import (
@@ -28,6 +29,7 @@
         (4, 6, 900),
         (4, 8, 900),
         (5, 9, 900),
+        (6, 9, 2400),
     )
 ]
 _FOREIGN = bundle(document(9), generate_keypair())
@@ -41,6 +43,7 @@
     ).unwrap()
     for build in _VALID
 }
+_VALID_BY_DIGEST = {manifest_digest(build.manifest): build for build in _VALID}
 _CONTENT = {
     digest: content
     for build in _OFFERED
@@ -83,10 +86,13 @@
         return
     build = _OFFERED[index]
     offer = store.offer_manifest(build.manifest)
-    if action == 'fetch':
-        for place, digest in enumerate(offer.missing):
-            if place != detail:
-                store.offer_chunk(digest, _CONTENT[digest])
+    asked = set() if action == 'fetch' else set(offer.missing)
+    while set(offer.missing) - asked:
+        digest = next(one for one in offer.missing if one not in asked)
+        asked.add(digest)
+        if len(asked) != detail:
+            answer = store.offer_chunk(digest, _CONTENT[digest])
+            offer = answer if answer.missing else offer
 
 
 @settings(max_examples=300, deadline=None)
@@ -104,13 +110,13 @@
         held = now_held
         assert store.accepted.document == _DOCUMENT_BY_DIGEST[held[1]]
         content = {
-            entry['digest']: store.chunk(entry['digest'])
-            for entry in store.accepted.manifest['chunks']
+            digest: store.chunk(digest)
+            for digest in _VALID_BY_DIGEST[held[1]].content_by_digest
         }
         assert join(store.accepted.manifest, content).is_ok()
         assert len(store._pending) <= 2
     deliver(store, _VALID[-1])
-    assert store.accepted.version == 5
+    assert store.accepted.version == 6
 
 
 def test_same_version_with_other_digest_is_reported_and_refused():
@@ -221,6 +227,36 @@
     assert store.offer_chunk('a' * 64, b'').status == 'unrelated'
 
 
+def test_index_chunks_are_followed_and_checked():
+    """Guards against large bundles that are refused, or taken in part."""
+    build = bundle(document(6, 6, 3000))
+    store = BundleStore([KEYS.public])
+    offer = store.offer_manifest(build.manifest)
+    assert len(offer.missing) < len(build.content_by_digest) / 8
+    assert deliver(store, build).status == 'accepted'
+    assert len(store.accepted.document['workspaces']) == 3000
+    changed = bundle(document(7, 7, 3000))
+    fetched = store.offer_manifest(changed.manifest).missing
+    assert len(fetched) == 1
+    assert 0 < len(_offer_chunk(store, changed, fetched[0]).missing) <= 2
+    assert deliver(store, changed).status == 'accepted'
+    top = [entry['digest'] for entry in changed.manifest['chunks']]
+    for index in (
+        b'index\nno digest\n',
+        b'index\n%s 1\n' % top[0].encode(),
+        b'index\n' + b'%s 900000\n' % (b'a' * 64) * 40,
+    ):
+        content = {digest_of(index): index}
+        faulty = sign(8, '', changed.content_by_digest | content, KEYS.secret)
+        offer = store.offer_manifest(faulty)
+        assert store.offer_chunk(digest_of(index), index).status == 'invalid'
+        assert store.accepted.version == 7
+
+
+def _offer_chunk(store, build, digest):
+    return store.offer_chunk(digest, build.content_by_digest[digest])
+
+
 def test_kept_state_is_bounded_and_never_raises_a_share():
     """Guards against unsettled versions or conflicts filling the memory."""
     store = BundleStore([KEYS.public])
