--- a/tests/test_document.py
+++ b/tests/test_document.py
@@ -149,6 +149,20 @@
     assert 'my-secret-key' not in str(findings)
 
 
+def test_faults_among_many_entries_keep_their_places():
+    """Guards against wrong places and against stopping a host by findings."""
+    sample = document(count=1200)
+    for position in (7, 1100):
+        sample['workspaces'][position]['rate'] = -1
+    places = [found.path for found in validate(sample, 'test')]
+    assert places == ['$.workspaces[7].rate', '$.workspaces[1100].rate']
+    for workspace in sample['workspaces']:
+        workspace['burst'] = 0
+    findings = validate(sample, 'test')
+    assert '200 further' in findings[0].message
+    assert len(findings) == 1002
+
+
 @pytest.mark.parametrize(
     'text',
     [
@@ -251,7 +265,7 @@
     document,
     version=st.integers(1, 2**53 - 1),
     rate=st.floats(0.001, 1e6),
-    count=st.integers(0, 400),
+    count=st.integers(0, 400) | st.just(2500),
     routes=st.lists(_NAMES, unique=True).map(
         lambda names: [_route(f'/{name}"\\{name}') for name in names]
     ),
@@ -264,7 +278,8 @@
     """Guards against lost, reordered or differently decoded entries."""
     content = canonical(sample)
     chunks = split(content)
-    assert b''.join(chunks.values()) == content
+    signed = sign(sample['version'], '', chunks, KEYS.secret)
+    assert join(signed, chunks).unwrap() == content
     shuffled = {**sample, 'workspaces': list(sample['workspaces'])}
     rng.shuffle(shuffled['workspaces'])
     assert canonical(shuffled) == content
@@ -296,7 +311,6 @@
 def test_any_content_is_split_below_the_limit(content):
     """Guards against chunks above the platform's limit or merged repeats."""
     chunks = split(content)
-    assert b''.join(chunks.values()) == content
     assert all(0 < len(part) <= CHUNK_LIMIT_BYTES for part in chunks.values())
     manifest = sign(1, '', chunks, KEYS.secret)
     assert join(manifest, chunks).unwrap() == content
