--- a/features/steps/at_most_once_steps.py
+++ b/features/steps/at_most_once_steps.py
@@ -4,25 +4,15 @@
 
 from behave import given, then, when
 
+from bench import faulty_target as faults
+from bench.faulty_target import BODY, FaultyTarget
+from bench.forward_host import CLOSED_URL, Host, header, request
 from oleanderridge.forward.stream import BrokenAnswerError
-from tests import faulty_target as faults
-from tests.faulty_target import BODY, FaultyTarget
-from tests.forward_host import Host, header, request
-
-CLOSED_URL = 'http://127.0.0.1:9'
-
-
-async def work_slowly(target, seen, writer):
-    await asyncio.sleep(0.1)
-    await faults.ok(target, seen, writer)
-
 
 BEHAVIOURS = {
-    'works': faults.ok,
-    'works slowly': work_slowly,
+    'works slowly': faults.after(0.1),
     'resets the connection after the work': faults.reset_after_work,
-    'sends a short body': faults.short_body,
-    'refuses connections': faults.ok,
+    'sends a short body': faults.FAULTS['short body']['behave'],
 }
 
 
@@ -34,23 +24,19 @@
 def given_target(context, behaviour):
     context.runner = asyncio.Runner()
     context.add_cleanup(context.runner.close)
-    context.target = FaultyTarget(BEHAVIOURS[behaviour])
+    context.target = FaultyTarget(BEHAVIOURS.get(behaviour))
     run(context, context.target.__aenter__())
     refuses = behaviour == 'refuses connections'
-    service = {
-        'name': 'svc',
-        'timeout_ms': 1500,
-        'buffer_limit_bytes': 64 if 'short' in behaviour else 4096,
-    }
-    urls = [CLOSED_URL if refuses else context.target.url]
-    context.host = Host(urls, service)
+    limit = 64 if 'short' in behaviour else 4096
+    url = CLOSED_URL if refuses else context.target.url
+    context.host = Host([url], buffer_limit_bytes=limit)
     run(context, context.host.client.open())
     context.add_cleanup(run, context, context.host.client.close())
 
 
 def order(context):
     sent = request('POST', headers=[('Idempotency-Key', context.key)])
-    return context.host.forwarder.handle(sent)
+    return context.host.handle(sent)
 
 
 @when('the caller orders with the idempotency key "{key}"')
@@ -85,14 +71,14 @@
 
 @when('the target works again')
 def when_target_works(context):
-    context.target.behave = faults.ok
+    context.target.behave = faults.complete
     context.host.urls = [context.target.url]
 
 
 @when('the caller downloads')
 def when_downloaded(context):
     async def download():
-        reply = await context.host.forwarder.handle(request())
+        reply = await context.host.handle(request())
         return b''.join([chunk async for chunk in reply.stream])
 
     try:
@@ -104,7 +90,7 @@
 @when('an order runs and another order waits')
 def when_two_orders(context):
     async def start():
-        handle = context.host.forwarder.handle
+        handle = context.host.handle
         context.running = asyncio.create_task(handle(request('POST')))
         await context.host.until(lambda: context.target.seen)
         context.host.permit_wait = asyncio.Event()
@@ -117,8 +103,7 @@
 @when('the key is revoked')
 def when_revoked(context):
     async def revoke():
-        context.host.index = 'revoked'
-        context.host.forwarder.on_bundle('revoked')
+        context.host.revoke()
         return await asyncio.gather(context.running, context.waiting)
 
     context.answered, context.reply = run(context, revoke())
--- a/oleanderridge/forward/client.py
+++ b/oleanderridge/forward/client.py
@@ -305,17 +305,18 @@
 
 
 def _expected_length(response: ClientResponse) -> int | None:
+    # The parser refuses several lengths, and a length besides chunks.
     codings = response.headers.getall('Transfer-Encoding', [])
-    lengths = set(response.headers.getall('Content-Length', []))
-    if not codings and not lengths:
+    if [coding.lower() for coding in codings] == ['chunked']:
+        return None
+    if codings:
+        raise _WrongAnswerError(f'the transfer coding is {codings}')
+    length = response.headers.get('Content-Length')
+    if length is None:
         # The end of such a body is the end of the connection, which a
         # truncated body has as well.
         raise ClientPayloadError('the answer has no length and no chunks')
-    if not codings and len(lengths) == 1 and min(lengths).isdecimal():
-        return int(min(lengths))
-    if lengths or [coding.lower() for coding in codings] != ['chunked']:
-        raise _WrongAnswerError('the length of the answer is ambiguous')
-    return None
+    return int(length)
 
 
 def _complete(
--- a/oleanderridge/forward/forwarder.py
+++ b/oleanderridge/forward/forwarder.py
@@ -9,6 +9,7 @@
 import asyncio
 import re
 from collections.abc import Awaitable, Callable, Sequence
+from contextlib import suppress
 from functools import partial
 from hashlib import sha256
 from typing import Any, Final, NamedTuple, TypeVar
@@ -303,7 +304,9 @@
     async def _admit(self, live: _Live) -> Result[None, Refusal]:
         if live.workspace == OPEN_WORKSPACE:
             return Ok(None)
-        admitted = await self._in_time(live, self._ports.admit(live.workspace))
+        admitted = await self._in_time(
+            live, partial(self._ports.admit, live.workspace)
+        )
         if isinstance(admitted, Err):
             return admitted
         live.token = admitted.ok_value
@@ -320,8 +323,12 @@
         live.claim = (text, claim_id)
         claimed = await self._in_time(
             live,
-            self._ports.claim(
-                text, claim_id, live.workspace, _fingerprint(live.request)
+            partial(
+                self._ports.claim,
+                text,
+                claim_id,
+                live.workspace,
+                _fingerprint(live.request),
             ),
         )
         if isinstance(claimed, Err):
@@ -357,7 +364,8 @@
     ) -> Result[Permit, Refusal]:
         return await self._in_time(
             live,
-            self._ports.acquire(
+            partial(
+                self._ports.acquire,
                 live.service['name'],
                 live.request.request_id,
                 live.workspace,
@@ -446,14 +454,16 @@
         live.stream = stream
 
     async def _in_time(
-        self, live: _Live, pending: Awaitable[Result[_ValueT, Refusal]]
+        self,
+        live: _Live,
+        ask: Callable[[], Awaitable[Result[_ValueT, Refusal]]],
     ) -> Result[_ValueT, Refusal]:
         left = live.deadline - self._ports.clock()
-        try:
-            async with asyncio.timeout(left):
-                return await pending
-        except TimeoutError:
-            return Err(refuse('deadline', 'no time is left'))
+        if left > 0:
+            with suppress(TimeoutError):
+                async with asyncio.timeout(left):
+                    return await ask()
+        return Err(refuse('deadline', 'no time is left'))
 
 
 def _caller_gone(live: _Live) -> None:
