--- a/bench/forward_host.py
+++ b/bench/forward_host.py
@@ -26,7 +26,7 @@
         'connect_timeout_s': 0.3,
         'attempts_max': 3,
         'key_lifetime_s': 600,
-        'keys_max': 100,
+        'keys_max': 100_000,
         'stored_answer_limit_bytes': 4096,
     },
 }
--- a/oleanderridge/forward/forwarder.py
+++ b/oleanderridge/forward/forwarder.py
@@ -129,6 +129,7 @@
         self.deadline = started
         self.workspace = ''
         self.idempotent = False
+        self.excluded: tuple[str, ...] = ()
         self.service: Service | None = None
         self.token: Token | None = None
         self.claim: tuple[str, str] | None = None
@@ -340,28 +341,21 @@
         return _unclaimed(live.request, reply)
 
     async def _attempts(self, live: _Live) -> Result[Reply, Refusal]:
-        excluded: tuple[str, ...] = ()
-        last: Refusal | None = None
-        for left in reversed(range(self._settings['attempts_max'])):
-            acquired = await self._acquire(live, excluded)
+        kept: Result[Reply, Refusal] | None = None
+        for _ in range(self._settings['attempts_max']):
+            acquired = await self._acquire(live)
             if isinstance(acquired, Err):
-                return Err(last or acquired.err_value)
-            permit = acquired.ok_value
-            outcome = await self._attempt(live, permit, left > 0)
-            if isinstance(outcome, Ok):
+                return acquired if kept is None else kept
+            outcome, final = await self._attempt(live, acquired.ok_value)
+            if final:
                 return outcome
-            failure = outcome.err_value
-            if failure.outcome != 'unused':
-                excluded = (*excluded, permit.target)
-            if failure.committed or last is None:
-                last = _failure_refusal(failure)
-            if live.state.may_have_run and not live.idempotent:
-                break
-        return Err(last or refuse('no-target'))
-
-    async def _acquire(
-        self, live: _Live, excluded: tuple[str, ...]
-    ) -> Result[Permit, Refusal]:
+            # A refusal before the commit must not hide an earlier attempt
+            # that may have run.
+            if kept is None or not _is_not_run(outcome):
+                kept = outcome
+        return Err(refuse('no-target')) if kept is None else kept
+
+    async def _acquire(self, live: _Live) -> Result[Permit, Refusal]:
         return await self._in_time(
             live,
             partial(
@@ -370,20 +364,18 @@
                 live.request.request_id,
                 live.workspace,
                 live.deadline,
-                excluded,
+                live.excluded,
             ),
         )
 
     async def _attempt(
-        self, live: _Live, permit: Permit, may_repeat: bool
-    ) -> Result[Reply, AttemptFailure]:
+        self, live: _Live, permit: Permit
+    ) -> tuple[Result[Reply, Refusal], bool]:
         started = self._ports.clock()
         limit = min(live.deadline, permit.expires_at) - started
         if limit <= 0 or live.withdrawn is not None:
             self._ports.release(permit, 'unused', 0)
-            return Err(
-                AttemptFailure('unused', False, 'the permit has expired')
-            )
+            return Err(refuse('deadline', 'the permit has expired')), False
         try:
             sent = await self._client.send(
                 self._plan(live, permit, limit),
@@ -393,10 +385,14 @@
             self._ports.release(permit, 'unused', 0)
             raise
         latency_ms = (self._ports.clock() - started) * _MS
-        if isinstance(sent, Err):
-            self._ports.release(permit, sent.err_value.outcome, latency_ms)
-            return sent
-        return self._answer(live, permit, sent.ok_value, latency_ms, may_repeat)
+        if isinstance(sent, Ok):
+            return self._answer(live, permit, sent.ok_value, latency_ms)
+        failure = sent.err_value
+        self._ports.release(permit, failure.outcome, latency_ms)
+        if failure.outcome != 'unused':
+            live.excluded = (*live.excluded, permit.target)
+        final = failure.committed and not live.idempotent
+        return Err(_failure_refusal(failure)), final
 
     def _plan(self, live: _Live, permit: Permit, limit: float) -> Attempt:
         request = live.request
@@ -416,23 +412,19 @@
         permit: Permit,
         answer: TargetAnswer,
         latency_ms: float,
-        may_repeat: bool,
-    ) -> Result[Reply, AttemptFailure]:
+    ) -> tuple[Result[Reply, Refusal], bool]:
         outcome = _answer_outcome(answer)
-        stream = answer.stream
-        if outcome == 'shed' and live.idempotent and may_repeat:
-            if isinstance(stream, TargetStream):
-                stream.abandon('the target sheds load')
-            self._ports.release(permit, outcome, latency_ms)
-            return Err(AttemptFailure('reset', True, 'the target sheds load'))
-        if isinstance(stream, TargetStream):
-            self._follow(live, permit, outcome, latency_ms, stream)
+        shed = outcome == 'shed' and live.idempotent and answer.stream is None
+        if shed:
+            live.excluded = (*live.excluded, permit.target)
+        if isinstance(answer.stream, TargetStream):
+            self._follow(live, permit, outcome, latency_ms, answer.stream)
         else:
             self._ports.release(permit, outcome, latency_ms)
-        reply = answer_reply(live.request, answer)
-        limit = self._settings['stored_answer_limit_bytes']
-        self._complete(live, DONE, stored_answer(answer, limit))
-        return Ok(reply)
+        if live.claim is not None:
+            limit = self._settings['stored_answer_limit_bytes']
+            self._complete(live, DONE, stored_answer(answer, limit))
+        return Ok(answer_reply(live.request, answer)), not shed
 
     def _follow(
         self,
@@ -557,6 +549,10 @@
     return Err(refuse('duplicate-unknown'))
 
 
+def _is_not_run(outcome: Result[Reply, Refusal]) -> bool:
+    return isinstance(outcome, Err) and outcome.err_value.outcome != UNKNOWN
+
+
 def _failure_refusal(failure: AttemptFailure) -> Refusal:
     return refuse(_REASON_BY_OUTCOME[failure.outcome], failure.detail)
 
--- a/oleanderridge/forward/idempotency.py
+++ b/oleanderridge/forward/idempotency.py
@@ -9,7 +9,6 @@
 
 import re
 from heapq import heappop, heappush
-from math import inf
 from typing import Final, NamedTuple
 
 from result import Err, Ok, Result
@@ -174,7 +173,7 @@
             Monotonic seconds.
         home_since : float
             Since when this host has been the home of the plain key
-            (monotonic seconds); infinity when it is not its home.
+            (monotonic seconds); ``math.inf`` when it is not its home.
         leased : bool
             Whether this host holds a lease at ``now``.
 
@@ -285,17 +284,6 @@
         heappush(self._expiries, (expires_at, name))
 
 
-def never_home() -> float:
-    """Return the ``home_since`` of a host that is not the key's home.
-
-    Returns
-    -------
-    float
-        Infinity.
-    """
-    return inf
-
-
 def _is_bound(key: str) -> bool:
     parsed = parse_key(key)
     return parsed.is_ok() and bool(parsed.unwrap().host)
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -353,10 +353,14 @@
         else:
             await complete(target, seen, writer)
 
-    async with served(target=FaultyTarget(shed_first)) as (_, host):
+    async with served(target=FaultyTarget(shed_first)) as (target, host):
         assert (await host.handle(request())).body == BODY
         assert host.released == ['shed', 'ok']
-        assert (await host.handle(request('POST'))).status == 503
+        reply = await host.handle(request('POST'))
+        assert reply.status == 503
+        host.acquired, host.urls = 0, (target.url, CLOSED_URL, CLOSED_URL)
+        target.seen.pop()
+        assert (await host.handle(request())).status == 503
 
 
 @in_loop
