--- a/oleanderridge/forward/scrub.py
+++ b/oleanderridge/forward/scrub.py
@@ -9,6 +9,7 @@
 import re
 from base64 import b64encode
 from collections.abc import Iterator
+from itertools import chain
 from typing import Final, NamedTuple
 from urllib.parse import quote, unquote_plus, unquote_to_bytes
 
@@ -81,7 +82,7 @@
     needles = () if key is None else _needles(key)
     clean = request._replace(
         query=_clean_query(request.query, needles),
-        headers=tuple(_clean_headers(request.headers, needles)),
+        headers=_clean_headers(request.headers, needles),
     )
     if needles and _key_remains(request, clean, needles):
         return Err(
@@ -171,7 +172,20 @@
     return any(_is_key_name(part.partition('=')[0]) for part in pair.split(';'))
 
 
-def _clean_headers(
+def _clean_headers(headers: Headers, needles: tuple[bytes, ...]) -> Headers:
+    kept = tuple(_without_carriers(headers, needles))
+    # One search over all headers is faster than one for each of them.
+    joined = '\n'.join(chain.from_iterable(kept))
+    if not needles or not _in_header(joined, joined, needles):
+        return kept
+    return tuple(
+        (name, value)
+        for name, value in kept
+        if not _in_header(name, value, needles)
+    )
+
+
+def _without_carriers(
     headers: Headers, needles: tuple[bytes, ...]
 ) -> Iterator[tuple[str, str]]:
     for name, value in headers:
@@ -182,8 +196,6 @@
             value = _clean_cookies(value, needles)
             if not value:
                 continue
-        if needles and _in_header(lowered, value, needles):
-            continue
         yield name, value
 
 
