--- a/oleanderridge/dispatch/broker.py
+++ b/oleanderridge/dispatch/broker.py
@@ -206,6 +206,12 @@
             for permit in tuple(state.permit_by_id.values()):
                 if now >= permit.expires_at:
                     _release(state, permit)
+            late = [
+                waiting
+                for waiting in state.queue.in_order()
+                if _too_late(state, waiting, now)
+            ]
+            outgoing.extend(_give_up(state, waiting) for waiting in late)
             outgoing.extend(self._dispatch(state, now))
         return outgoing
 
@@ -252,26 +258,33 @@
         return None
 
     def _dispatch(self, state: _ServiceState, now: float) -> list[Outgoing]:
-        outgoing = []
-        mean_s = state.service_time.mean / 1000
-        for late in tuple(state.queue.in_order()):
-            if now + mean_s > late.deadline:
-                state.queue.remove((late.host, late.request_id))
-                outgoing.append(
-                    _refusal(late.host, late.request_id, 'deadline')
-                )
-        granted = True
-        while granted:
-            granted = False
-            for waiting in state.queue.in_order():
-                target = self._target(state, waiting, now)
-                if target is not None:
-                    state.queue.serve(waiting)
-                    outgoing.append(self._grant(state, waiting, target, now))
-                    granted = True
-                    break
+        outgoing: list[Outgoing] = []
+        while len(state.queue) and _any_free(state):
+            served = self._serve_one(state, now, outgoing)
+            if not served:
+                break
         return outgoing
 
+    def _serve_one(
+        self, state: _ServiceState, now: float, outgoing: list[Outgoing]
+    ) -> bool:
+        full: set[tuple[str, frozenset[str]]] = set()
+        for waiting in state.queue.in_order():
+            if _too_late(state, waiting, now):
+                outgoing.append(_give_up(state, waiting))
+                continue
+            choice = (waiting.host, waiting.excluded)
+            if choice in full:
+                continue
+            target = self._target(state, waiting, now)
+            if target is None:
+                full.add(choice)
+            else:
+                state.queue.serve(waiting)
+                outgoing.append(self._grant(state, waiting, target, now))
+                return True
+        return False
+
     def _target(
         self, state: _ServiceState, waiting: Waiting, now: float
     ) -> str | None:
@@ -328,6 +341,22 @@
     )
 
 
+def _any_free(state: _ServiceState) -> bool:
+    return any(
+        state.in_flight[target['name']] < target['slots']
+        for target in state.service['targets']
+    )
+
+
+def _too_late(state: _ServiceState, waiting: Waiting, now: float) -> bool:
+    return now + state.service_time.mean / 1000 > waiting.deadline
+
+
+def _give_up(state: _ServiceState, waiting: Waiting) -> Outgoing:
+    state.queue.remove((waiting.host, waiting.request_id))
+    return _refusal(waiting.host, waiting.request_id, 'deadline')
+
+
 def _repeated(
     state: _ServiceState, message: PermitRequest, now: float
 ) -> Outgoing | None:
--- a/oleanderridge/health/service.py
+++ b/oleanderridge/health/service.py
@@ -26,6 +26,9 @@
 _PROBE_REPEAT_S: Final = 1.0
 # Health endpoints mislead: after this many failed probes traffic decides.
 _PROBES_MAX: Final = 3
+# Candidates are recomputed after this time at the latest. Until then a target
+# can only become more usable, because every other change clears the cache.
+_CACHE_S: Final = 0.02
 _SHED_PAUSE_S: Final = 0.05
 _SHED_PAUSE_MAX_S: Final = 1.6
 
@@ -76,6 +79,13 @@
         return (self.run.length, self.latency.mean)
 
 
+class _Cached(NamedTuple):
+    """Candidates of one host, computed at a time."""
+
+    at: float
+    candidates: tuple[Candidate, ...]
+
+
 class ServiceHealth:
     """Evidence and ejections of the targets of one service.
 
@@ -93,11 +103,13 @@
             for target in service['targets']
         }
         self._zone_by_host: dict[str, str] = {}
+        self._cache: dict[tuple[str, frozenset[str]], _Cached] = {}
 
     def update(self, service: Service, now: float) -> None:
         """Take over a changed definition; new targets start cold."""
         self._service = service
         self._policy = service['health']
+        self._cache.clear()
         known = self._by_name
         self._by_name = {}
         for definition in service['targets']:
@@ -124,9 +136,11 @@
         self._zone_by_host[host] = zone
         report = Report(host, zone, target, outcome, latency_ms, now)
         if outcome == 'draining':
+            self._cache.clear()
             record.state = DRAINING
             record.until = now + self._policy['ejection_s']
         elif outcome == 'shed':
+            self._cache.clear()
             pause = min(_SHED_PAUSE_MAX_S, _SHED_PAUSE_S * 2**record.sheds)
             record.sheds = min(record.sheds + 1, 8)
             record.pause_until = now + pause
@@ -158,6 +172,22 @@
         tuple of Candidate
             Empty when no target may receive the request.
         """
+        key = (host, frozenset(leaving))
+        cached = self._cache.get(key)
+        if cached is None or not 0 <= now - cached.at < _CACHE_S:
+            cached = _Cached(now, self._candidates(host, now, leaving))
+            self._cache[key] = cached
+        if not excluded:
+            return cached.candidates
+        return tuple(
+            candidate
+            for candidate in cached.candidates
+            if candidate.target not in excluded
+        )
+
+    def _candidates(
+        self, host: str, now: float, leaving: Collection[str]
+    ) -> tuple[Candidate, ...]:
         available = []
         removed = []
         for record in self._by_name.values():
@@ -172,7 +202,6 @@
         return tuple(
             self._candidate(usable, now, usable in forced)
             for usable in (*available, *forced)
-            if usable.name not in excluded
         )
 
     def probes_due(self, now: float) -> tuple[str, ...]:
@@ -238,6 +267,7 @@
         if failing or self._slow(record):
             self._eject(record, now)
         elif path.failures >= limit:
+            self._cache.clear()
             length = self._duration(path.avoidances)
             path.avoid_until = now + length
             path.avoidances += 1
@@ -266,6 +296,7 @@
         return min(doubled, self._policy['ejection_max_s'])
 
     def _eject(self, record: TargetRecord, now: float) -> None:
+        self._cache.clear()
         record.state = EJECTED
         record.until = now + self._duration(record.ejections)
         record.ejections += 1
@@ -273,6 +304,7 @@
         record.probes = 0
 
     def _restore(self, record: TargetRecord, now: float) -> None:
+        self._cache.clear()
         record.state = HEALTHY
         record.warm_from = now
         record.probes = 0
