--- a/bench/model/trace.py
+++ b/bench/model/trace.py
@@ -182,7 +182,7 @@
         self._health = ServiceHealth(service_of(spec))
         self._loop = EventLoop()
         self._ejections: list[tuple[float, str, float]] = []
-        self._states: dict[str, str] = {}
+        self._counts: dict[str, int] = {}
         self._bad = 0
         self._last_bad = float(FAULT_START_S)
 
@@ -249,10 +249,11 @@
     def _watch(self) -> None:
         for item in self._health.snapshot(self._loop.now):
             name = item['target']
-            before = self._states.get(name)
-            self._states[name] = item['state']
-            if item['state'] == 'ejected' and before != 'ejected':
-                self._ejections.append((self._loop.now, name, item['until_s']))
+            before = self._counts.get(name, 0)
+            self._counts[name] = item['ejections']
+            if item['ejections'] > before:
+                ejection = (self._loop.now, name, item['until_s'])
+                self._ejections.append(ejection)
 
 
 def replay_all(
--- a/oleanderridge/health/evidence.py
+++ b/oleanderridge/health/evidence.py
@@ -1,28 +1,31 @@
-"""What hosts have observed about one target."""
+"""What hosts have observed about one target, and how strong it is.
+
+Scores are log likelihood ratios (natural logarithm): a score of 12 means that
+the observations are e^12 times likelier if the target has the fault.
+"""
 
 from __future__ import annotations
 
-from typing import Final, NamedTuple
+from collections.abc import Mapping
+from math import ceil, log
+from typing import Final
 
 FAILURES: Final = frozenset(
     ('timeout', 'reset', 'short', 'wrong', 'connect-failed', 'error')
 )
 LATENCY_ALPHA: Final = 0.1
-
-
-class Report(NamedTuple):
-    """One observation of a target by a host."""
-
-    host: str
-    zone: str
-    target: str
-    outcome: str
-    latency_ms: float
-    at: float
+_FAILURE_ALPHA: Final = 0.05
+# A healthy target fails less often than this; a rarer failure of all targets
+# would make single failures look like strong evidence.
+_USUAL_FAILURES: Final = 0.01
+_FAULTY_FAILURES: Final = 0.25
+# Up to this failure rate of the other targets a run of the configured length
+# is evidence; above it, runs of healthy targets are longer.
+_RUN_FAILURES: Final = 0.05
 
 
 class LatencyAverage:
-    """Exponentially weighted moving average of latencies.
+    """Exponentially weighted moving average.
 
     Parameters
     ----------
@@ -35,11 +38,46 @@
         self.samples = 0
         self._alpha = alpha
 
-    def add(self, latency_ms: float) -> None:
+    def add(self, sample: float) -> None:
         """Add a sample; the first samples are averaged with equal weight."""
         self.samples += 1
         weight = max(self._alpha, 1 / self.samples)
-        self.mean += weight * (latency_ms - self.mean)
+        self.mean += weight * (sample - self.mean)
+
+
+def failure_average() -> LatencyAverage:
+    """Return the average that holds the share of failed requests."""
+    return LatencyAverage(_FAILURE_ALPHA)
+
+
+def failure_score(failed: bool, usual: float) -> float:
+    """Return the evidence of one outcome for a partly failing target.
+
+    Parameters
+    ----------
+    failed : bool
+        Whether the request failed.
+    usual : float
+        Share of requests that fail on the service's other targets.
+
+    Returns
+    -------
+    float
+        Positive for a failure, negative for a success.
+    """
+    healthy = min(0.9, max(_USUAL_FAILURES, usual))
+    faulty = healthy + _FAULTY_FAILURES * (1 - healthy)
+    if failed:
+        return log(faulty / healthy)
+    return log((1 - faulty) / (1 - healthy))
+
+
+def run_limit(consecutive_failures: int, usual: float) -> int:
+    """Return the run length that is evidence at a usual failure rate."""
+    if usual <= _RUN_FAILURES:
+        return consecutive_failures
+    stretch = log(_RUN_FAILURES) / log(min(0.95, usual))
+    return ceil(consecutive_failures * stretch)
 
 
 class FailureRun:
@@ -60,13 +98,54 @@
         self.zone_by_host.clear()
 
 
+class ZoneScores:
+    """Cumulative evidence for a fault of one target, by zone.
+
+    Evidence against the fault lowers a score only to ``-credit``, so that a
+    long healthy past does not hide a new fault.
+
+    Parameters
+    ----------
+    credit : float
+        How far below zero a score can fall.
+    limit : float
+        How high a score can rise.
+    """
+
+    def __init__(self, credit: float, limit: float) -> None:
+        self.by_zone: dict[str, float] = {}
+        self._hosts_by_zone: dict[str, set[str]] = {}
+        self._credit = credit
+        self._limit = limit
+
+    def add(self, host: str, zone: str, evidence: float) -> None:
+        """Add the evidence of one observation."""
+        score = self.by_zone.get(zone, -self._credit) + evidence
+        self.by_zone[zone] = min(self._limit, max(-self._credit, score))
+        hosts = self._hosts_by_zone.setdefault(zone, set())
+        if score <= 0:
+            hosts.clear()
+        elif evidence > 0:
+            hosts.add(host)
+
+    def merged(self, passing: Mapping[str, float]) -> dict[str, float]:
+        """Return the scores by zone with passing evidence added."""
+        zones = self.by_zone.keys() | passing.keys()
+        return {
+            zone: self.by_zone.get(zone, -self._credit) + passing.get(zone, 0)
+            for zone in zones
+        }
+
+    def hosts(self) -> set[str]:
+        """Return the hosts whose evidence has raised a score above zero."""
+        return set().union(*self._hosts_by_zone.values())
+
+
 class PathEvidence:
-    """What one host has observed about one target."""
+    """What one host, or the hosts of one zone, observed about a target."""
 
-    def __init__(self, zone: str) -> None:
-        self.zone = zone
-        self.failures = 0
-        self.latency = LatencyAverage()
+    def __init__(self) -> None:
+        self.run = FailureRun()
         self.last_at: float = 0
         self.avoid_until: float = 0
         self.avoidances = 0
--- a/oleanderridge/health/service.py
+++ b/oleanderridge/health/service.py
@@ -2,35 +2,41 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection
+from collections.abc import Collection, Iterable
 from statistics import median
 from typing import Any, Final, NamedTuple
 
-from oleanderridge.generated.bundle import HealthPolicy, Service, Target
+from oleanderridge.generated.bundle import HealthPolicy, Service
 from oleanderridge.health.evidence import (
     FAILURES,
-    FailureRun,
-    LatencyAverage,
     PathEvidence,
-    Report,
+    ZoneScores,
+    failure_score,
+    run_limit,
+)
+from oleanderridge.health.latency import LatencyProfile
+from oleanderridge.health.target import (
+    DRAINING,
+    EJECTED,
+    HEALTHY,
+    PROBING,
+    TargetRecord,
+    doubled,
+    failure_threshold,
+    latency_threshold,
 )
 
-HEALTHY: Final = 'healthy'
-EJECTED: Final = 'ejected'
-PROBING: Final = 'probing'
-DRAINING: Final = 'draining'
-
-# A cold target starts with this part of its slots.
-_COLD_WEIGHT: Final = 0.1
 # A probe that nobody answers is repeated after this time.
-_PROBE_REPEAT_S: Final = 1.0
+_PROBE_REPEAT_S: Final = 1
 # Health endpoints mislead: after this many failed probes traffic decides.
 _PROBES_MAX: Final = 3
 # Candidates are recomputed after this time at the latest. Until then a target
 # can only become more usable, because every other change clears the cache.
 _CACHE_S: Final = 0.02
-_SHED_PAUSE_S: Final = 0.05
-_SHED_PAUSE_MAX_S: Final = 1.6
+# Hosts and paths without a report for this time no longer count.
+_FORGET_S: Final = 60
+# Part of the threshold that the zones besides the strongest must reach.
+_SECOND_ZONE: Final = 0.25
 
 
 class Candidate(NamedTuple):
@@ -48,35 +54,13 @@
     forced: bool
 
 
-class TargetRecord:
-    """State of one target."""
-
-    def __init__(self, definition: Target) -> None:
-        self.name = definition['name']
-        self.slots = definition['slots']
-        self.state = HEALTHY
-        self.until: float = 0
-        self.warm_from = float('-inf')
-        self.ejections = 0
-        self.last_ejected = float('-inf')
-        self.run = FailureRun()
-        self.latency = LatencyAverage()
-        self.path_by_host: dict[str, PathEvidence] = {}
-        self.pause_until: float = 0
-        self.sheds = 0
-        self.probes = 0
-        self.probe_at: float = 0
-
-    def weight(self, now: float, slow_start_s: float) -> float:
-        """Return the part of the slots that a cold target may use."""
-        age = now - self.warm_from
-        if age >= slow_start_s:
-            return 1.0
-        return max(_COLD_WEIGHT, age / slow_start_s)
-
-    def badness(self) -> tuple[int, float]:
-        """Return the order in which the floor readmits targets."""
-        return (self.run.length, self.latency.mean)
+class Flight(NamedTuple):
+    """A request that a target has not answered yet."""
+
+    host: str
+    zone: str
+    target: str
+    started: float
 
 
 class _Cached(NamedTuple):
@@ -86,6 +70,13 @@
     candidates: tuple[Candidate, ...]
 
 
+class _Observer(NamedTuple):
+    """A host that reports, and when it was last heard."""
+
+    zone: str
+    last_at: float
+
+
 class ServiceHealth:
     """Evidence and ejections of the targets of one service.
 
@@ -98,24 +89,29 @@
     def __init__(self, service: Service) -> None:
         self._service = service
         self._policy: HealthPolicy = service['health']
+        self._profile = LatencyProfile(self._policy['latency_factor'])
         self._by_name = {
-            target['name']: TargetRecord(target)
+            target['name']: TargetRecord(target, self._policy)
             for target in service['targets']
         }
-        self._zone_by_host: dict[str, str] = {}
+        self._observer_by_host: dict[str, _Observer] = {}
+        self._zones: frozenset[str] = frozenset()
+        self._forget_at: float = 0
         self._cache: dict[tuple[str, frozenset[str]], _Cached] = {}
 
     def update(self, service: Service, now: float) -> None:
         """Take over a changed definition; new targets start cold."""
+        self._cache.clear()
+        if service['health'] != self._policy:
+            self._profile = LatencyProfile(service['health']['latency_factor'])
         self._service = service
         self._policy = service['health']
-        self._cache.clear()
         known = self._by_name
         self._by_name = {}
         for definition in service['targets']:
             record = known.get(definition['name'])
             if record is None:
-                record = TargetRecord(definition)
+                record = TargetRecord(definition, self._policy)
                 record.warm_from = now
             record.slots = definition['slots']
             self._by_name[record.name] = record
@@ -129,23 +125,50 @@
         latency_ms: float,
         now: float,
     ) -> None:
-        """Take in one observation."""
+        """Take in one observation.
+
+        Parameters
+        ----------
+        host, zone : str
+            Who observed it.
+        target : str
+            Name of the target; an unknown one is ignored.
+        outcome : str
+            As in ``PermitReturn``.
+        latency_ms : float
+            Time from sending to the end of the response.
+        now : float
+            Monotonic seconds.
+        """
         record = self._by_name.get(target)
         if record is None or outcome == 'unused':
             return
-        self._zone_by_host[host] = zone
-        report = Report(host, zone, target, outcome, latency_ms, now)
+        self._note_observer(host, zone, now)
         if outcome == 'draining':
             self._cache.clear()
             record.state = DRAINING
             record.until = now + self._policy['ejection_s']
         elif outcome == 'shed':
             self._cache.clear()
-            pause = min(_SHED_PAUSE_MAX_S, _SHED_PAUSE_S * 2**record.sheds)
-            record.sheds = min(record.sheds + 1, 8)
-            record.pause_until = now + pause
+            record.pause(now)
+        elif outcome in FAILURES:
+            self._observe_failure(record, host, zone, now)
         else:
-            self._observe(record, report)
+            self._observe_answer(record, (host, zone), latency_ms, now)
+
+    def review(self, flights: Iterable[Flight], now: float) -> None:
+        """Judge all targets, counting requests that are still unanswered.
+
+        A target that never answers would otherwise show nothing before its
+        first timeout.
+        """
+        flights_by_target: dict[str, list[Flight]] = {}
+        for flight in flights:
+            flights_by_target.setdefault(flight.target, []).append(flight)
+        for name, waiting in flights_by_target.items():
+            record = self._by_name.get(name)
+            if record is not None and record.state == HEALTHY:
+                self._judge_slowness(record, waiting, now)
 
     def candidates(
         self,
@@ -185,25 +208,6 @@
             if candidate.target not in excluded
         )
 
-    def _candidates(
-        self, host: str, now: float, leaving: Collection[str]
-    ) -> tuple[Candidate, ...]:
-        available = []
-        removed = []
-        for record in self._by_name.values():
-            self._advance(record, now)
-            if record.name in leaving or record.state == DRAINING:
-                continue
-            if self._usable(record, host, now):
-                available.append(record)
-            else:
-                removed.append(record)
-        forced = self._readmitted(available, removed, now)
-        return tuple(
-            self._candidate(usable, now, usable in forced)
-            for usable in (*available, *forced)
-        )
-
     def probes_due(self, now: float) -> tuple[str, ...]:
         """Return the targets to probe now; each is due once per second."""
         due = []
@@ -232,85 +236,188 @@
             {
                 'target': record.name,
                 'state': record.state,
+                'reason': record.reason,
                 'until_s': max(0, record.until - now),
                 'ejections': record.ejections,
                 'latency_ms': record.latency.mean,
-                'failures': record.run.length,
+                'failure_share': record.failure_share.mean,
                 'weight': record.weight(now, self._policy['slow_start_s']),
             }
             for record in self._by_name.values()
         ]
 
-    def _observe(self, record: TargetRecord, report: Report) -> None:
-        path = record.path_by_host.get(report.host)
-        if path is None:
-            path = PathEvidence(report.zone)
-            record.path_by_host[report.host] = path
-        path.last_at = report.at
-        if report.outcome in FAILURES:
-            path.failures += 1
-            record.run.add(report.host, report.zone)
-        else:
-            path.failures = 0
-            record.run.clear()
-            record.sheds = 0
-            path.latency.add(report.latency_ms)
-            record.latency.add(report.latency_ms)
+    def _note_observer(self, host: str, zone: str, now: float) -> None:
+        known = self._observer_by_host.get(host)
+        self._observer_by_host[host] = _Observer(zone, now)
+        if now >= self._forget_at:
+            self._forget_at = now + _FORGET_S / 4
+            self._forget_silent(now - _FORGET_S)
+        elif known is None or known.zone != zone:
+            self._zones |= {zone}
+
+    def _forget_silent(self, before: float) -> None:
+        self._cache.clear()
+        self._observer_by_host = {
+            host: observer
+            for host, observer in self._observer_by_host.items()
+            if observer.last_at >= before
+        }
+        self._zones = frozenset(
+            observer.zone for observer in self._observer_by_host.values()
+        )
+        for record in self._by_name.values():
+            record.path_by_host = {
+                host: path
+                for host, path in record.path_by_host.items()
+                if max(path.last_at, path.avoid_until) >= before
+            }
+
+    def _observe_failure(
+        self, record: TargetRecord, host: str, zone: str, now: float
+    ) -> None:
+        usual = self._usual_failures(record)
+        record.failure_share.add(1)
+        record.run.add(host, zone)
+        record.failing.add(host, zone, failure_score(True, usual))
+        paths = (
+            record.path_by_host.setdefault(host, PathEvidence()),
+            record.path_by_zone.setdefault(zone, PathEvidence()),
+        )
+        for path in paths:
+            path.run.add(host, zone)
+            path.last_at = now
         if record.state == HEALTHY:
-            self._judge(record, path, report.at)
+            self._judge_failures(record, paths, usual, now)
 
-    def _judge(
-        self, record: TargetRecord, path: PathEvidence, now: float
+    def _observe_answer(
+        self,
+        record: TargetRecord,
+        observer: tuple[str, str],
+        latency_ms: float,
+        now: float,
     ) -> None:
-        limit = self._policy['consecutive_failures']
-        failing = record.run.length >= limit and self._agrees(record.run)
-        if failing or self._slow(record):
-            self._eject(record, now)
-        elif path.failures >= limit:
-            self._cache.clear()
-            length = self._duration(path.avoidances)
-            path.avoid_until = now + length
-            path.avoidances += 1
-            path.failures = 0
-
-    def _agrees(self, run: FailureRun) -> bool:
-        hosts = min(2, len(self._zone_by_host))
-        zones = min(2, len(set(self._zone_by_host.values())))
-        seen = run.zone_by_host
+        host, zone = observer
+        usual = self._usual_failures(record)
+        record.accepted()
+        record.failure_share.add(0)
+        record.run.clear()
+        record.failing.add(host, zone, failure_score(False, usual))
+        for paths, name in (
+            (record.path_by_host, host),
+            (record.path_by_zone, zone),
+        ):
+            path = paths.get(name)
+            if path is not None:
+                path.run.clear()
+                path.last_at = now
+        record.latency.add(latency_ms)
+        evidence = self._profile.score(latency_ms)
+        record.slowness.add(host, zone, evidence)
+        if record.state == HEALTHY:
+            self._profile.add(latency_ms)
+            if evidence > 0:
+                self._judge_slowness(record, (), now)
+
+    def _usual_failures(self, record: TargetRecord) -> float:
+        shares = [
+            other.failure_share.mean
+            for other in self._by_name.values()
+            if other is not record and other.failure_share.samples
+        ]
+        return median(shares) if shares else 0
+
+    def _judge_failures(
+        self,
+        record: TargetRecord,
+        paths: tuple[PathEvidence, PathEvidence],
+        usual: float,
+        now: float,
+    ) -> None:
+        limit = run_limit(self._policy['consecutive_failures'], usual)
+        agreed = record.run.length >= limit and self._seen_widely(record)
+        threshold = failure_threshold(self._policy)
+        if agreed or self._agrees(record.failing, {}, set(), threshold):
+            self._eject(record, 'failures', now)
+            return
+        by_host, by_zone = paths
+        if by_host.run.length >= limit:
+            self._avoid(by_host, now)
+        several = len(by_zone.run.zone_by_host) > 1
+        if several and by_zone.run.length >= limit:
+            self._avoid(by_zone, now)
+
+    def _seen_widely(self, record: TargetRecord) -> bool:
+        seen = record.run.zone_by_host
+        hosts = min(2, len(self._observer_by_host))
+        zones = min(2, len(self._zones))
         return len(seen) >= hosts and len(set(seen.values())) >= zones
 
-    def _slow(self, record: TargetRecord) -> bool:
-        minimum = self._policy['minimum_samples']
-        if record.latency.samples < minimum:
-            return False
-        means = [
-            other.latency.mean
+    def _judge_slowness(
+        self,
+        record: TargetRecord,
+        waiting: Collection[Flight],
+        now: float,
+    ) -> None:
+        passing: dict[str, float] = {}
+        for flight in waiting:
+            age_ms = (now - flight.started) * 1000
+            score = self._profile.in_flight_score(age_ms)
+            passing[flight.zone] = passing.get(flight.zone, 0) + score
+        slow_start_s = self._policy['slow_start_s']
+        threshold = latency_threshold(self._policy)
+        if record.weight(now, slow_start_s) < 1:
+            # A cold target is slow for a while without a fault.
+            threshold *= 2
+        hosts = {unanswered.host for unanswered in waiting}
+        if self._agrees(record.slowness, passing, hosts, threshold):
+            usual = self._usual_slowness(record)
+            total = sum(record.slowness.merged(passing).values())
+            if total - usual >= threshold:
+                self._eject(record, 'latency', now)
+
+    def _usual_slowness(self, record: TargetRecord) -> float:
+        """Return the score that the other targets share.
+
+        When all targets become slow together, no target is to blame.
+        """
+        scores = [
+            sum(other.slowness.by_zone.values())
             for other in self._by_name.values()
-            if other.latency.samples >= minimum
+            if other is not record and other.state == HEALTHY
         ]
-        limit = self._policy['latency_factor'] * median(means)
-        return len(means) > 2 and record.latency.mean > limit
+        return max(0, median(scores)) if scores else 0
+
+    def _agrees(
+        self,
+        scores: ZoneScores,
+        passing: dict[str, float],
+        waiting_hosts: set[str],
+        threshold: float,
+    ) -> bool:
+        merged = scores.merged(passing)
+        total = sum(merged.values())
+        if total < threshold:
+            return False
+        hosts = scores.hosts() | waiting_hosts
+        if len(hosts) < min(2, len(self._observer_by_host)):
+            return False
+        if len(self._zones) < 2:
+            return True
+        return total - max(merged.values()) >= threshold * _SECOND_ZONE
 
-    def _duration(self, repeats: int) -> float:
-        doubled = self._policy['ejection_s'] * 2 ** min(repeats, 20)
-        return min(doubled, self._policy['ejection_max_s'])
+    def _eject(self, record: TargetRecord, reason: str, now: float) -> None:
+        self._cache.clear()
+        record.eject(reason, now, self._policy)
 
-    def _eject(self, record: TargetRecord, now: float) -> None:
+    def _avoid(self, path: PathEvidence, now: float) -> None:
         self._cache.clear()
-        record.state = EJECTED
-        record.until = now + self._duration(record.ejections)
-        record.ejections += 1
-        record.last_ejected = now
-        record.probes = 0
+        path.avoid_until = now + doubled(self._policy, path.avoidances)
+        path.avoidances += 1
+        path.run.clear()
 
     def _restore(self, record: TargetRecord, now: float) -> None:
         self._cache.clear()
-        record.state = HEALTHY
-        record.warm_from = now
-        record.probes = 0
-        record.run.clear()
-        record.latency = LatencyAverage()
-        record.path_by_host.clear()
+        record.restore(now, self._policy)
 
     def _advance(self, record: TargetRecord, now: float) -> None:
         if record.state in {EJECTED, DRAINING} and now >= record.until:
@@ -320,11 +427,26 @@
             else:
                 self._restore(record, now)
 
-    def _usable(self, record: TargetRecord, host: str, now: float) -> bool:
-        path = record.path_by_host.get(host)
-        avoided = path is not None and now < path.avoid_until
-        paused = now < record.pause_until
-        return record.state == HEALTHY and not (avoided or paused)
+    def _candidates(
+        self, host: str, now: float, leaving: Collection[str]
+    ) -> tuple[Candidate, ...]:
+        observer = self._observer_by_host.get(host)
+        zone = '' if observer is None else observer.zone
+        available = []
+        removed = []
+        for record in self._by_name.values():
+            self._advance(record, now)
+            if record.name in leaving or record.state == DRAINING:
+                continue
+            if record.usable(host, zone, now):
+                available.append(record)
+            else:
+                removed.append(record)
+        forced = self._readmitted(available, removed, now)
+        return tuple(
+            self._candidate(usable, now, usable in forced)
+            for usable in (*available, *forced)
+        )
 
     def _readmitted(
         self,
