Fetch nested chunks in windows, from peers first

Cause: a bundle of 10,000 workspaces never arrived: its manifest names an index chunk whose entries become missing only after it is there, and the fetch looked at the first list alone. 387 pulls at once also overran the send buffer of a peer. Change: fetch loops over what is still missing, 16 reads or 32 pulls at a time; a fresh host waits 1.5 to 3 s for peers before it reads chunks from the platform.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -305,6 +305,14 @@
         headers = {'Authorization': f'Bearer {_ADMIN_TOKEN}'}
         return await self.around.call('GET', url, headers=headers)
 
+    async def metrics(self, host: str) -> str:
+        """Return the exposition of a host's metrics."""
+        url = f'http://{LOOPBACK}:{self.ports[host].admin}/metrics'
+        headers = {'Authorization': f'Bearer {_ADMIN_TOKEN}'}
+        async with self.around.session.get(url, headers=headers) as response:
+            response.raise_for_status()
+            return await response.text()
+
     async def wait_serving(self, host: str, timeout_s: float = START_S) -> None:
         """Wait until a host answers a keyed request.
 
--- a/oleanderridge/runtime/bundles.py
+++ b/oleanderridge/runtime/bundles.py
@@ -7,7 +7,7 @@
 
 from msgspec import DecodeError
 from msgspec.json import decode as decode_json
-from result import Err
+from result import Err, Ok, Result
 
 from oleanderridge.admission.keys import AdmissionIndex, build_index
 from oleanderridge.config.relay import should_watch
@@ -20,13 +20,25 @@
 )
 from oleanderridge.runtime.node import Node
 from oleanderridge.runtime.peering import Peering
-from oleanderridge.runtime.platform import PlatformReader
+from oleanderridge.runtime.platform import PlatformReader, PlatformValue
 from oleanderridge.runtime.refresh import refresh_decisions
 from oleanderridge.wire import Message
 
 _MANIFEST = 'bundle/manifest'
 _HOSTS = 'hosts'
+_PLATFORM = 'platform'
+_WANTED = 'wanted'
 _ELECTION_CHECK_S = 1
+_PEERS_FIRST_S = 1.5
+_PEERS_POLL_S = 0.05
+# Chunks in flight: enough to hide the round trip, and fewer than the send
+# buffer of a peer holds.
+_PLATFORM_WINDOW = 16
+_PEER_WINDOW = 32
+_PULL_REPEAT_S = 1
+# 64 bits tell two bundles of one version apart; heartbeats carry them to
+# every peer, so they are kept short.
+_DIGEST_PREFIX = 16
 
 
 class BundleSync:
@@ -56,6 +68,7 @@
         self._reader = reader
         self._on_index = on_index
         self._revision_by_key: dict[str, int] = {}
+        self._pulled_at_by_digest: dict[str, float] = {}
         handlers = node.handler_by_kind
         handlers['manifest_pull'] = self._on_manifest_pull
         handlers['manifest_push'] = self._on_manifest_push
@@ -122,15 +135,36 @@
         except DecodeError as error:
             self._node.note('manifest-malformed', error=error)
             return
-        offer = self._offer_manifest(manifest, 'platform')
-        for digest in offer.missing:
-            chunk = await self._reader.read(f'bundle/chunk/{digest}')
-            if isinstance(chunk, Err):
-                self._node.note('chunk-unavailable', error=chunk.err_value)
+        offer = self._offer_manifest(manifest, _PLATFORM)
+        if offer.status == _WANTED and self._node.store.accepted is None:
+            await self._wait_for_peers()
+        while offer.status == _WANTED and offer.missing:
+            batch = offer.missing[:_PLATFORM_WINDOW]
+            chunks = await asyncio.gather(*map(self._read_chunk, batch))
+            if not all(isinstance(chunk, Ok) for chunk in chunks):
                 # The watch must deliver this manifest again.
                 self._revision_by_key.pop(_MANIFEST, None)
                 return
-            self._offer_chunk(digest, chunk.ok_value.content, 'platform')
+            for digest, chunk in zip(batch, chunks, strict=True):
+                content = chunk.ok_value.content
+                offer = self._offer_chunk(digest, content, _PLATFORM)
+
+    async def _read_chunk(self, digest: str) -> Result[PlatformValue, str]:
+        chunk = await self._reader.read(f'bundle/chunk/{digest}')
+        if isinstance(chunk, Err):
+            self._node.note('chunk-unavailable', error=chunk.err_value)
+        return chunk
+
+    async def _wait_for_peers(self) -> None:
+        # A fresh host takes the chunks from peers where it can: the platform
+        # counts calls over all readers, and a rack may restart at once.
+        node = self._node
+        deadline = node.clock() + node.rng.uniform(1, 2) * _PEERS_FIRST_S
+        others = len(node.membership.peer_addresses()) > 1
+        while others and node.clock() < deadline:
+            if node.store.accepted is not None:
+                return
+            await asyncio.sleep(_PEERS_POLL_S)
 
     def _on_manifest_pull(self, message: Message) -> None:
         node = self._node
@@ -145,12 +179,23 @@
         node.send(message['host'], push)
 
     def _on_manifest_push(self, message: Message) -> None:
-        node = self._node
         source = message['host']
         offer = self._offer_manifest(message['manifest'], source)
-        for digest in offer.missing:
+        self._pull_chunks(source, offer)
+
+    def _pull_chunks(self, source: str, offer: Offer) -> None:
+        if offer.status != _WANTED:
+            self._pulled_at_by_digest.clear()
+            return
+        node = self._node
+        now = node.clock()
+        pulled_at = self._pulled_at_by_digest
+        for digest in offer.missing[:_PEER_WINDOW]:
+            if now - pulled_at.get(digest, 0) < _PULL_REPEAT_S:
+                continue
             pull = ChunkPull(kind='chunk_pull', host=node.host, digest=digest)
-            node.send(source, pull)
+            if node.send(source, pull):
+                pulled_at[digest] = now
 
     def _on_chunk_pull(self, message: Message) -> None:
         node = self._node
@@ -166,19 +211,23 @@
         node.send(message['host'], push)
 
     def _on_chunk_push(self, message: Message) -> None:
-        self._offer_chunk(
+        source = message['host']
+        offer = self._offer_chunk(
             message['digest'],
             message['content'],
-            message['host'],
+            source,
         )
+        self._pull_chunks(source, offer)
 
     def _offer_manifest(self, manifest: Manifest, source: str) -> Offer:
         offer = self._node.store.offer_manifest(manifest)
         self._conclude(offer, source)
         return offer
 
-    def _offer_chunk(self, digest: str, content: bytes, source: str) -> None:
-        self._conclude(self._node.store.offer_chunk(digest, content), source)
+    def _offer_chunk(self, digest: str, content: bytes, source: str) -> Offer:
+        offer = self._node.store.offer_chunk(digest, content)
+        self._conclude(offer, source)
+        return offer
 
     def _conclude(self, offer: Offer, source: str) -> None:
         if offer.status == 'accepted':
@@ -203,7 +252,11 @@
             for entry in services
             for target in entry['targets']
         }
-        node.membership.set_bundle(accepted.version, accepted.digest, now)
+        node.membership.set_bundle(
+            accepted.version,
+            accepted.digest[:_DIGEST_PREFIX],
+            now,
+        )
         node.bundle_accepted_at = now
         node.metrics.bundle_version.set({}, accepted.version)
         refresh_decisions(node)
