Send peer messages as arrays and tick an idle host less often

Cause: a heartbeat took 306 bytes, two thirds of them field names, and an idle host spent 1.1% of a core, most of it in a 20 ms tick.

--- a/oleanderridge/runtime/admin_api.py
+++ b/oleanderridge/runtime/admin_api.py
@@ -17,13 +17,19 @@
 _ROWS_MAX: Final = 10000
 
 
-def build_admin_app(node: Node, drain: Callable[[], None]) -> App:
+def build_admin_app(
+    node: Node,
+    live_requests: Callable[[], int],
+    drain: Callable[[], None],
+) -> App:
     """Return the ASGI application for operators.
 
     Parameters
     ----------
     node : Node
         The host.
+    live_requests : callable
+        Returns how many requests are being handled.
     drain : callable
         Starts the graceful shutdown.
 
@@ -41,7 +47,7 @@
     app.add_route('/v1/targets', _Reader(lambda _req: target_status(node)))
     app.add_route('/v1/shares', _Reader(_make_shares(node)))
     app.add_route('/v1/drain', _Drain(drain))
-    app.add_route('/metrics', _Exposition(node))
+    app.add_route('/metrics', _Exposition(node, live_requests))
     return app
 
 
@@ -176,15 +182,22 @@
 
 
 class _Exposition:
-    """Serves the metrics."""
+    """Serves the metrics; gauges are read when they are asked for."""
 
-    def __init__(self, node: Node) -> None:
+    def __init__(
+        self,
+        node: Node,
+        live_requests: Callable[[], int],
+    ) -> None:
         self._node = node
+        self._live_requests = live_requests
 
     async def on_get(self, req: Request, resp: Response) -> None:
         node = self._node
         now = node.clock()
         node.metrics.bundle_age.set({}, now - node.bundle_accepted_at)
+        node.metrics.loop_lag.set({}, node.loop_lag_s)
+        node.metrics.live_requests.set({}, self._live_requests())
         node.metrics.lease.set({}, max(0, node.lease_until() - now))
         body, headers = node.metrics.exposition([req.accept])
         resp.set_headers(headers)
--- a/oleanderridge/runtime/host.py
+++ b/oleanderridge/runtime/host.py
@@ -28,7 +28,9 @@
 
 _LOGGER = logging.getLogger(__name__)
 
-_TICK_S = 0.02
+# Bounds how late an expired permit or deadline is noticed; at 0.02 s an idle
+# host spent 1% of a core on it.
+_TICK_S = 0.05
 _SHARES_TICK_S = 0.5
 _DRAIN_POLL_S = 0.05
 
@@ -119,7 +121,11 @@
     def _make_servers(self) -> tuple[LoopServer, ...]:
         settings = self.node.settings
         caller_app = build_caller_app(self.node, self._forwarder)
-        admin_app = build_admin_app(self.node, self._stopping.set)
+        admin_app = build_admin_app(
+            self.node,
+            self._forwarder.live,
+            self._stopping.set,
+        )
         caller, admin = settings['caller'], settings['admin']
         return (
             make_server(caller_app, caller['address'], caller['port']),
@@ -144,8 +150,7 @@
         expected = node.clock()
         while True:
             now = node.clock()
-            node.metrics.loop_lag.set({}, max(0, now - expected))
-            node.metrics.live_requests.set({}, self._forwarder.live())
+            node.loop_lag_s = max(0, now - expected)
             node.send_all(node.broker.tick(now))
             expected = node.clock() + _TICK_S
             await asyncio.sleep(_TICK_S)
--- a/oleanderridge/runtime/node.py
+++ b/oleanderridge/runtime/node.py
@@ -64,6 +64,7 @@
         self.bundle_accepted_at = now
         self.watching = False
         self.leaving = False
+        self.loop_lag_s: float = 0
         self._address_by_host: dict[str, str] = {}
 
     def clock(self) -> float:
--- a/oleanderridge/wire.py
+++ b/oleanderridge/wire.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-from typing import Any, Final, NamedTuple, TypeVar, cast
+from typing import Any, Final, NamedTuple, TypeVar
 
-from msgspec import DecodeError, ValidationError
+from msgspec import DecodeError, ValidationError, convert
 from msgspec.msgpack import Decoder, Encoder
 from result import Err, Ok, Result
 
@@ -41,33 +41,40 @@
     message: Message
 
 
-DECODER_BY_KIND: Final = {
-    'heartbeat': Decoder(Heartbeat),
-    'list_pull': Decoder(ListPull),
-    'list_push': Decoder(ListPush),
-    'manifest_pull': Decoder(ManifestPull),
-    'manifest_push': Decoder(ManifestPush),
-    'chunk_pull': Decoder(ChunkPull),
-    'chunk_push': Decoder(ChunkPush),
-    'token_request': Decoder(TokenRequest),
-    'token_reply': Decoder(TokenReply),
-    'permit_request': Decoder(PermitRequest),
-    'permit_queued': Decoder(PermitQueued),
-    'permit_grant': Decoder(PermitGrant),
-    'permit_refusal': Decoder(PermitRefusal),
-    'permit_cancel': Decoder(PermitCancel),
-    'permit_return': Decoder(PermitReturn),
-    'key_claim': Decoder(KeyClaim),
-    'key_claim_reply': Decoder(KeyClaimReply),
-    'key_outcome': Decoder(KeyOutcome),
+TYPE_BY_KIND: Final = {
+    'heartbeat': Heartbeat,
+    'list_pull': ListPull,
+    'list_push': ListPush,
+    'manifest_pull': ManifestPull,
+    'manifest_push': ManifestPush,
+    'chunk_pull': ChunkPull,
+    'chunk_push': ChunkPush,
+    'token_request': TokenRequest,
+    'token_reply': TokenReply,
+    'permit_request': PermitRequest,
+    'permit_queued': PermitQueued,
+    'permit_grant': PermitGrant,
+    'permit_refusal': PermitRefusal,
+    'permit_cancel': PermitCancel,
+    'permit_return': PermitReturn,
+    'key_claim': KeyClaim,
+    'key_claim_reply': KeyClaimReply,
+    'key_outcome': KeyOutcome,
+}
+
+# Messages travel as arrays, kind first and the other fields in the order of
+# the schema: field names would be two thirds of a heartbeat.
+_FIELDS_BY_KIND: Final = {
+    kind: tuple(name for name in message_type.__annotations__ if name != 'kind')
+    for kind, message_type in TYPE_BY_KIND.items()
 }
 
 _ENCODER: Final = Encoder()
-_KIND_DECODER: Final = Decoder()
+_DECODER: Final = Decoder(list)
 
 
 def encode(message: _MessageT) -> bytes:
-    """Return the MessagePack form of a message.
+    """Return the wire form of a message.
 
     Parameters
     ----------
@@ -77,9 +84,12 @@
     Returns
     -------
     bytes
-        The encoded message.
+        A MessagePack array: kind, then the fields in schema order; nil for
+        an optional field that is absent.
     """
-    return _ENCODER.encode(message)
+    kind = message['kind']
+    fields = _FIELDS_BY_KIND[kind]
+    return _ENCODER.encode([kind, *map(message.get, fields)])
 
 
 def decode(payload: bytes) -> Result[Message, str]:
@@ -96,14 +106,22 @@
         The message; or an error that names the kind and the path in it.
     """
     try:
-        untyped = _KIND_DECODER.decode(payload)
+        parts = _DECODER.decode(payload)
     except DecodeError as error:
-        return Err(f'not MessagePack: {error}')
-    kind = untyped.get('kind') if isinstance(untyped, dict) else None
-    decoder = DECODER_BY_KIND.get(kind) if isinstance(kind, str) else None
-    if decoder is None:
-        return Err(f'unknown kind {kind!r} - at `$.kind`')
+        return Err(f'not a MessagePack array: {error}')
+    kind = parts[0] if parts else None
+    fields = _FIELDS_BY_KIND.get(kind) if isinstance(kind, str) else None
+    if fields is None:
+        return Err(f'unknown kind {kind!r}')
+    if len(parts) != len(fields) + 1:
+        return Err(f'{kind}: {len(parts) - 1} fields, not {len(fields)}')
+    untyped = {
+        name: part
+        for name, part in zip(fields, parts[1:], strict=True)
+        if part is not None
+    }
+    untyped['kind'] = kind
     try:
-        return Ok(cast(Message, decoder.decode(payload)))
+        return Ok(convert(untyped, TYPE_BY_KIND[kind]))
     except ValidationError as error:
         return Err(f'{kind}: {error}')
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -1,5 +1,7 @@
 """Peer messages survive the wire, and malformed ones name their place."""
 
+from msgspec import msgpack
+
 from oleanderridge.wire import decode, encode
 
 _REQUEST = {
@@ -23,7 +25,20 @@
     assert '$.incarnation' in error
 
 
+def test_optional_field_may_be_absent():
+    """Guards against an absent answer that turns into an empty one."""
+    reply = {
+        'kind': 'key_claim_reply',
+        'host': 'host-a',
+        'claim_id': 'c-1',
+        'state': 'claimed',
+    }
+    assert decode(encode(reply)).unwrap() == reply
+
+
 def test_garbage_is_an_error_and_not_an_exception():
     """Guards against a malformed message stopping the receiving loop."""
-    for payload in (b'', b'\xc1', encode(['list']), encode({'kind': 'x'})):
+    arrays = ([], ['x'], [['heartbeat']], ['list_pull'], ['list_pull', 1, 2])
+    payloads = (b'', b'\xc1', *map(msgpack.encode, arrays))
+    for payload in payloads:
         assert decode(payload).is_err()
