--- a/oleanderridge/config/store.py
+++ b/oleanderridge/config/store.py
@@ -72,7 +72,9 @@
         self._need(manifest['chunks'])
 
     def _need(self, entries: Iterable[ChunkEntry]) -> None:
-        for entry in entries:
+        # Entries of an index chunk at hand are appended while the loop runs.
+        waiting = list(entries)
+        for entry in waiting:
             digest, size = entry['digest'], entry['size']
             # A chunk that is listed twice also counts twice, since the
             # document holds it twice.
@@ -83,10 +85,20 @@
                 return
             if digest in self.content_by_digest or digest in self.missing:
                 continue
-            self.missing[digest] = size
             content = self._at_hand.get(digest)
-            if content is not None:
-                self.add(digest, content)
+            if content is None or len(content) != size:
+                self.missing[digest] = size
+            else:
+                waiting.extend(self._take(digest, content))
+
+    def _take(self, digest: str, content: bytes) -> list[ChunkEntry]:
+        """Keep a chunk; return what it lists if it is an index."""
+        self.content_by_digest[digest] = content
+        if digest not in self._top or not is_index(content):
+            return []
+        listed = index_entries(content)
+        self.fault = self.fault or listed.err() or ''
+        return listed.unwrap_or([])
 
     def _limit_fault(self, size: int) -> str:
         if not 0 < size <= CHUNK_LIMIT_BYTES:
@@ -100,21 +112,10 @@
     def add(self, digest: str, content: bytes) -> bool:
         if len(content) != self.missing[digest]:
             return False
-        self.content_by_digest[digest] = content
         self.missing.pop(digest)
-        if digest in self._top and is_index(content):
-            self._add_index(content)
+        self._need(self._take(digest, content))
         return True
 
-    def _add_index(self, content: bytes) -> None:
-        listed = index_entries(content)
-        entries = listed.unwrap_or([])
-        if any(entry['digest'] in self._top for entry in entries):
-            self.fault = 'an index chunk lists what the manifest lists'
-        else:
-            self.fault = self.fault or listed.err() or ''
-            self._need(entries)
-
     def collected(self) -> bool:
         return bool(self.fault) or not self.missing
 
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -240,17 +240,19 @@
     assert len(fetched) == 1
     assert 0 < len(_offer_chunk(store, changed, fetched[0]).missing) <= 2
     assert deliver(store, changed).status == 'accepted'
-    top = [entry['digest'] for entry in changed.manifest['chunks']]
-    for index in (
-        b'index\nno digest\n',
-        b'index\n%s 1\n' % top[0].encode(),
-        b'index\n' + b'%s 900000\n' % (b'a' * 64) * 40,
+    top = changed.manifest['chunks'][0]['digest']
+    for lines, fault in (
+        (b'no digest\n', 'malformed'),
+        (b'%s 1\n' % top.encode(), 'other content'),
+        (b'%s 900000\n' % (b'a' * 64) * 40, 'more than'),
     ):
-        content = {digest_of(index): index}
-        faulty = sign(8, '', changed.content_by_digest | content, KEYS.secret)
-        offer = store.offer_manifest(faulty)
-        assert store.offer_chunk(digest_of(index), index).status == 'invalid'
-        assert store.accepted.version == 7
+        index = b'index\n' + lines
+        chunks = {**changed.content_by_digest, digest_of(index): index}
+        store.offer_manifest(sign(8, '', chunks, KEYS.secret))
+        offer = store.offer_chunk(digest_of(index), index)
+        assert offer.status == 'invalid'
+        assert fault in offer.message
+    assert store.accepted.version == 7
 
 
 def _offer_chunk(store, build, digest):
