--- a/oleanderridge/forward/forwarder.py
+++ b/oleanderridge/forward/forwarder.py
@@ -185,12 +185,17 @@
             end calls its ``aclose``.
         """
         live = _Live(request, self._ports.clock())
+        refusal = self._receive(live)
+        if refusal is not None:
+            return refusal_reply(live.request, refusal)
         self._live.add(live)
-        task = asyncio.create_task(self._run(live))
-        live.task = task
-        task.add_done_callback(partial(self._finished, live))
+        if live.idempotent:
+            # A task of its own is needed only to outlive the caller.
+            live.task = asyncio.current_task()
+            return await self._run(live)
+        live.task = asyncio.create_task(self._run(live))
         try:
-            return await asyncio.shield(task)
+            return await asyncio.shield(live.task)
         except asyncio.CancelledError:
             _caller_gone(live)
             raise
@@ -215,27 +220,27 @@
         except asyncio.CancelledError:
             refusal = live.withdrawn
             self._undo(live, refusal)
-            if refusal is None:
+            if refusal is None or live.task.uncancel():
                 raise
-            live.task.uncancel()
             outcome = Err(refusal)
         except BaseException:
             self._undo(live, None)
             raise
+        finally:
+            if live.stream is None:
+                self._live.discard(live)
+        return self._reply(live, outcome)
+
+    def _reply(self, live: _Live, outcome: Result[Reply, Refusal]) -> Reply:
         if isinstance(outcome, Err):
             self._undo(live, outcome.err_value)
             reply = refusal_reply(live.request, _truthful(live, outcome))
         else:
             reply = outcome.ok_value
         live.state.advance(ANSWERED)
-        return reply._replace(headers=(*reply.headers, *_closing(live)))
-
-    def _finished(self, live: _Live, task: asyncio.Task[Reply]) -> None:
-        failed = task.cancelled() or task.exception() is not None
-        if live.stream is None or failed:
-            self._live.discard(live)
-        elif live.detached:
+        if live.detached and live.stream is not None:
             live.stream.abandon('the caller has gone')
+        return reply._replace(headers=(*reply.headers, *_closing(live)))
 
     def _undo(self, live: _Live, refusal: Refusal | None) -> None:
         ran = live.state.may_have_run
@@ -254,9 +259,6 @@
             self._ports.complete(key, claim_id, live.workspace, state, answer)
 
     async def _serve(self, live: _Live) -> Result[Reply, Refusal]:
-        refusal = self._receive(live)
-        if refusal is not None:
-            return Err(refusal)
         live.state.advance(QUEUED)
         admitted = await self._admit(live)
         if isinstance(admitted, Err):
