--- a/oleanderridge/forward/forwarder.py
+++ b/oleanderridge/forward/forwarder.py
@@ -47,6 +47,7 @@
     ANSWERED,
     COMMITTED,
     QUEUED,
+    RECEIVED,
     RequestState,
 )
 from oleanderridge.forward.stream import TargetStream
@@ -259,6 +260,10 @@
             self._ports.complete(key, claim_id, live.workspace, state, answer)
 
     async def _serve(self, live: _Live) -> Result[Reply, Refusal]:
+        if live.withdrawn is not None:
+            return Err(live.withdrawn)
+        if live.detached:
+            raise asyncio.CancelledError
         live.state.advance(QUEUED)
         admitted = await self._admit(live)
         if isinstance(admitted, Err):
@@ -462,17 +467,25 @@
 
 def _caller_gone(live: _Live) -> None:
     live.detached = True
-    if live.stream is not None:
+    if live.stream is None:
+        _stop(live)
+    else:
         live.stream.abandon('the caller has gone')
-    elif live.idempotent or not live.state.may_have_run:
-        live.task.cancel()
 
 
 def _withdraw(live: _Live, refusal: Refusal) -> None:
     live.withdrawn = refusal
-    if live.stream is not None:
+    if live.stream is None:
+        _stop(live)
+    else:
         live.stream.abandon(refusal.reason)
-    elif live.idempotent or not live.state.may_have_run:
+
+
+def _stop(live: _Live) -> None:
+    # A task cancelled before its first step would end without its cleanup;
+    # _serve looks at the reason when it starts.
+    started = live.state.phase != RECEIVED
+    if started and (live.idempotent or not live.state.may_have_run):
         live.task.cancel()
 
 
@@ -520,10 +533,14 @@
 
 
 def _header(request: InboundRequest, name: str) -> str | None:
-    for header, value in request.headers:
-        if header.lower() == name:
-            return value.strip()
-    return None
+    found = [
+        value.strip()
+        for header, value in request.headers
+        if header.lower() == name
+    ]
+    # Neither a number nor an idempotency key can contain the separator, so
+    # a repeated header is refused.
+    return ', '.join(found) if found else None
 
 
 def _fingerprint(request: InboundRequest) -> str:
--- a/oleanderridge/forward/stream.py
+++ b/oleanderridge/forward/stream.py
@@ -134,7 +134,10 @@
         finally:
             self._reading = False
         self._received += len(chunk)
-        if not chunk and self._expected not in {None, self._received}:
+        if self._received == self._expected:
+            # The slot is free even if the reader takes its time.
+            self._end(OK, '')
+        elif not chunk and self._expected is not None:
             self._end(SHORT, f'{self._received} of {self._expected} bytes')
         elif not chunk:
             self._end(OK, '')
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -1,10 +1,13 @@
 """Faulty targets: truthful refusals, at most one run, complete answers."""
 
 import asyncio
+import contextlib
 import functools
 import json
 
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from bench.faulty_target import (
     BODY,
@@ -96,6 +99,73 @@
         assert not host.refunded
 
 
+@settings(max_examples=60, deadline=None)
+@given(
+    faults=st.lists(st.sampled_from([*FAULTS, 'closed']), max_size=3),
+    method=st.sampled_from(['GET', 'POST']),
+)
+@in_loop
+async def test_any_sequence_of_faults(faults, method):
+    """Guards against untruthful refusals after several failed attempts."""
+    targets = [FaultyTarget(**FAULTS.get(fault, {})) for fault in faults]
+    async with contextlib.AsyncExitStack() as stack:
+        for target in targets:
+            await stack.enter_async_context(target)
+        urls = [target.url for target in targets]
+        for place, fault in enumerate(faults):
+            urls[place] = CLOSED_URL if fault == 'closed' else urls[place]
+        limits = {'timeout_ms': 80, 'echo_header': 'Echo'}
+        last, host = await stack.enter_async_context(served(*urls, **limits))
+        sent = request(method)
+        reply = await host.handle(sent)
+        runs = sum(len(target.seen) for target in (*targets, last))
+        check_truth(reply, sent, runs)
+        assert len(host.released) == host.acquired
+        assert host.forwarder.live() == 0
+
+
+@settings(max_examples=150, deadline=None)
+@given(
+    method=st.sampled_from(['GET', 'POST']),
+    steps=st.integers(0, 30),
+    delay=st.sampled_from([0, 0.01]),
+    leaves=st.booleans(),
+    limit=st.sampled_from([64, 4096]),
+)
+@in_loop
+async def test_interrupted_at_any_step(method, steps, delay, leaves, limit):
+    """Guards against lost permits, tokens and records, and second runs."""
+    slow = FaultyTarget(after(delay))
+    async with served(target=slow, buffer_limit_bytes=limit) as (target, host):
+        sent = request(method, ORDER)
+        task = start(host.handle(sent))
+        for _ in range(steps):
+            await asyncio.sleep(0)
+        if leaves:
+            task.cancel()
+        else:
+            host.revoke()
+        (reply,) = await asyncio.gather(task, return_exceptions=True)
+        if not isinstance(reply, BaseException):
+            runs = target.executions[sent.request_id]
+            if refused(reply)[1] == 'not-run':
+                await asyncio.sleep(0.02)
+                assert target.executions[sent.request_id] == 0
+            elif reply.stream is not None:
+                await reply.stream.aclose()
+            else:
+                check_truth(reply, sent, runs)
+        await host.until(lambda: host.forwarder.live() == 0)
+        assert len(host.released) == host.acquired
+        host.index = 'allowed'
+        first = len(target.seen)
+        assert first + len(host.refunded) <= 1
+        if method == 'POST':
+            reply = await host.handle(request('POST', ORDER))
+            assert len(target.seen) == 1 or refused(reply)[1] == 'unknown'
+            assert len(target.seen) <= 1
+
+
 @pytest.mark.parametrize('method', ['GET', 'POST'])
 @in_loop
 async def test_refused_connection(method):
