--- a/features/steps/at_most_once_steps.py
+++ b/features/steps/at_most_once_steps.py
@@ -10,7 +10,7 @@
 from oleanderridge.forward.stream import BrokenAnswerError
 
 BEHAVIOURS = {
-    'works slowly': faults.after(0.1),
+    'works slowly': faults.after(0.4),
     'resets the connection after the work': faults.reset_after_work,
     'sends a short body': faults.FAULTS['short body']['behave'],
 }
--- a/oleanderridge/forward/idempotency.py
+++ b/oleanderridge/forward/idempotency.py
@@ -172,8 +172,10 @@
         now : float
             Monotonic seconds.
         home_since : float
-            Since when this host has been the home of the plain key
-            (monotonic seconds); ``math.inf`` when it is not its home.
+            Since when no other host can have claimed the plain key as its
+            home (monotonic seconds): when this host became its home, plus
+            the time for which an earlier home may still hold a lease.
+            ``math.inf`` when this host is not its home.
         leased : bool
             Whether this host holds a lease at ``now``.
 
