--- a/oleanderridge/forward/forwarder.py
+++ b/oleanderridge/forward/forwarder.py
@@ -47,6 +47,7 @@
     ANSWERED,
     COMMITTED,
     QUEUED,
+    RECEIVED,
     RequestState,
 )
 from oleanderridge.forward.stream import TargetStream
@@ -185,12 +186,17 @@
             end calls its ``aclose``.
         """
         live = _Live(request, self._ports.clock())
+        refusal = self._receive(live)
+        if refusal is not None:
+            return refusal_reply(live.request, refusal)
         self._live.add(live)
-        task = asyncio.create_task(self._run(live))
-        live.task = task
-        task.add_done_callback(partial(self._finished, live))
+        if live.idempotent:
+            # A task of its own is needed only to outlive the caller.
+            live.task = asyncio.current_task()
+            return await self._run(live)
+        live.task = asyncio.create_task(self._run(live))
         try:
-            return await asyncio.shield(task)
+            return await asyncio.shield(live.task)
         except asyncio.CancelledError:
             _caller_gone(live)
             raise
@@ -215,27 +221,27 @@
         except asyncio.CancelledError:
             refusal = live.withdrawn
             self._undo(live, refusal)
-            if refusal is None:
+            if refusal is None or live.task.uncancel():
                 raise
-            live.task.uncancel()
             outcome = Err(refusal)
         except BaseException:
             self._undo(live, None)
             raise
+        finally:
+            if live.stream is None:
+                self._live.discard(live)
+        return self._reply(live, outcome)
+
+    def _reply(self, live: _Live, outcome: Result[Reply, Refusal]) -> Reply:
         if isinstance(outcome, Err):
             self._undo(live, outcome.err_value)
             reply = refusal_reply(live.request, _truthful(live, outcome))
         else:
             reply = outcome.ok_value
         live.state.advance(ANSWERED)
-        return reply._replace(headers=(*reply.headers, *_closing(live)))
-
-    def _finished(self, live: _Live, task: asyncio.Task[Reply]) -> None:
-        failed = task.cancelled() or task.exception() is not None
-        if live.stream is None or failed:
-            self._live.discard(live)
-        elif live.detached:
+        if live.detached and live.stream is not None:
             live.stream.abandon('the caller has gone')
+        return reply._replace(headers=(*reply.headers, *_closing(live)))
 
     def _undo(self, live: _Live, refusal: Refusal | None) -> None:
         ran = live.state.may_have_run
@@ -254,9 +260,10 @@
             self._ports.complete(key, claim_id, live.workspace, state, answer)
 
     async def _serve(self, live: _Live) -> Result[Reply, Refusal]:
-        refusal = self._receive(live)
-        if refusal is not None:
-            return Err(refusal)
+        if live.withdrawn is not None:
+            return Err(live.withdrawn)
+        if live.detached:
+            raise asyncio.CancelledError
         live.state.advance(QUEUED)
         admitted = await self._admit(live)
         if isinstance(admitted, Err):
@@ -460,17 +467,25 @@
 
 def _caller_gone(live: _Live) -> None:
     live.detached = True
-    if live.stream is not None:
+    if live.stream is None:
+        _stop(live)
+    else:
         live.stream.abandon('the caller has gone')
-    elif live.idempotent or not live.state.may_have_run:
-        live.task.cancel()
 
 
 def _withdraw(live: _Live, refusal: Refusal) -> None:
     live.withdrawn = refusal
-    if live.stream is not None:
+    if live.stream is None:
+        _stop(live)
+    else:
         live.stream.abandon(refusal.reason)
-    elif live.idempotent or not live.state.may_have_run:
+
+
+def _stop(live: _Live) -> None:
+    # A task cancelled before its first step would end without its cleanup;
+    # _serve looks at the reason when it starts.
+    started = live.state.phase != RECEIVED
+    if started and (live.idempotent or not live.state.may_have_run):
         live.task.cancel()
 
 
@@ -518,10 +533,14 @@
 
 
 def _header(request: InboundRequest, name: str) -> str | None:
-    for header, value in request.headers:
-        if header.lower() == name:
-            return value.strip()
-    return None
+    found = [
+        value.strip()
+        for header, value in request.headers
+        if header.lower() == name
+    ]
+    # Neither a number nor an idempotency key can contain the separator, so
+    # a repeated header is refused.
+    return ', '.join(found) if found else None
 
 
 def _fingerprint(request: InboundRequest) -> str:
