--- a/bench/model/trace.py
+++ b/bench/model/trace.py
@@ -18,7 +18,7 @@
 from bench.model.targets import Fault
 from bench.model.workload import Workspace
 from oleanderridge.generated.bundle import HealthPolicy
-from oleanderridge.health.service import ServiceHealth
+from oleanderridge.health.service import Flight, ServiceHealth
 
 FAULT_START_S = 2
 # Part of all answers that is cut short although no target has a fault.
@@ -183,13 +183,14 @@
         self._loop = EventLoop()
         self._ejections: list[tuple[float, str, float]] = []
         self._counts: dict[str, int] = {}
+        self._flights: dict[int, Flight] = {}
         self._bad = 0
         self._last_bad = float(FAULT_START_S)
 
     def run(self) -> Outcome:
         """Replay the whole trace."""
-        for row in self._trace.rows:
-            self._loop.at(row[0], partial(self._start, row))
+        for number, row in enumerate(self._trace.rows):
+            self._loop.at(row[0], partial(self._start, number, row))
         self._loop.every(0.05, self._tick)
         self._loop.run(self._trace.scenario.duration_s)
         fault = self._trace.scenario.fault
@@ -214,7 +215,7 @@
         quiet = self._trace.scenario.duration_s - self._last_bad
         return self._last_bad - FAULT_START_S if quiet > 1 else None
 
-    def _start(self, row: tuple[Any, ...]) -> None:
+    def _start(self, number: int, row: tuple[Any, ...]) -> None:
         host, zone, target = row[1:4]
         now = self._loop.now
         offered = {
@@ -227,14 +228,17 @@
         if fault.active(target, now) and fault.seen_by(host, zone):
             self._bad += 1
             self._last_bad = now
-        self._loop.after(row[5] / 1000, partial(self._end, row))
+        self._flights[number] = Flight(host, zone, target, now)
+        self._loop.after(row[5] / 1000, partial(self._end, number, row))
 
-    def _end(self, row: tuple[Any, ...]) -> None:
+    def _end(self, number: int, row: tuple[Any, ...]) -> None:
+        self._flights.pop(number)
         self._health.report(*row[1:6], self._loop.now)
         self._watch()
 
     def _tick(self) -> None:
         now = self._loop.now
+        self._health.review(self._flights.values(), now)
         for name in self._health.probes_due(now):
             self._loop.after(0.025, partial(self._probed, name))
         self._watch()
--- a/oleanderridge/dispatch/broker.py
+++ b/oleanderridge/dispatch/broker.py
@@ -18,7 +18,7 @@
 )
 from oleanderridge.generated.settings import Settings
 from oleanderridge.health.evidence import LatencyAverage
-from oleanderridge.health.service import Candidate, ServiceHealth
+from oleanderridge.health.service import Candidate, Flight, ServiceHealth
 from oleanderridge.wire import Outgoing
 
 Identity = tuple[str, str]
@@ -70,6 +70,7 @@
 
     permit_id: str
     host: str
+    zone: str
     incarnation: int
     request_id: str
     target: str
@@ -200,12 +201,16 @@
         return self._dispatch(state, now)
 
     def tick(self, now: float) -> list[Outgoing]:
-        """Expire permits, refuse late requests and fill free slots."""
+        """Expire permits, refuse late requests and fill free slots.
+
+        Expected about every 50 ms; also judges unanswered requests.
+        """
         outgoing = []
         for state in self._state_by_service.values():
             for permit in tuple(state.permit_by_id.values()):
                 if now >= permit.expires_at:
                     _release(state, permit)
+            state.health.review(_flights(state), now)
             late = [
                 waiting
                 for waiting in state.queue.in_order()
@@ -316,6 +321,7 @@
         permit = Permit(
             permit_id=f'{self._prefix}-{self._issued}',
             host=waiting.host,
+            zone=waiting.zone,
             incarnation=waiting.incarnation,
             request_id=waiting.request_id,
             target=target,
@@ -333,6 +339,7 @@
 def _waiting(message: PermitRequest, now: float) -> Waiting:
     return Waiting(
         host=message['host'],
+        zone=message['zone'],
         incarnation=message['incarnation'],
         request_id=message['request_id'],
         workspace=message['workspace'],
@@ -341,6 +348,13 @@
     )
 
 
+def _flights(state: _ServiceState) -> list[Flight]:
+    return [
+        Flight(permit.host, permit.zone, permit.target, permit.granted_at)
+        for permit in state.permit_by_id.values()
+    ]
+
+
 def _any_free(state: _ServiceState) -> bool:
     return any(
         state.in_flight[target['name']] < target['slots']
--- a/oleanderridge/dispatch/fair_queue.py
+++ b/oleanderridge/dispatch/fair_queue.py
@@ -10,6 +10,7 @@
     """One queued request."""
 
     host: str
+    zone: str
     incarnation: int
     request_id: str
     workspace: str
