--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -57,11 +57,13 @@
 _chunk_offers = st.tuples(
     st.just('chunk'),
     st.integers(0, len(_DIGESTS) - 1),
-    st.sampled_from(('intact', 'intact', 'intact', 'altered', 'short', 'swap')),
+    st.sampled_from(('intact', 'altered', 'short', 'swap')),
 )
-# Whatever an earlier offer asked for, with some answers lost.
+# All that a manifest asks for, with one answer lost or damaged.
 _fetches = st.tuples(
-    st.just('fetch'), st.integers(0, len(_OFFERED) - 1), st.integers(0, 8)
+    st.just('fetch'),
+    st.integers(0, len(_OFFERED) - 1),
+    st.tuples(st.integers(0, 8), st.sampled_from(('lost', 'altered', 'swap'))),
 )
 
 
@@ -69,20 +71,21 @@
     return sign_entries(version, '', entries, KEYS.secret)
 
 
-def _damaged(index, damage):
-    content = _CONTENT[_DIGESTS[index]]
+def _damaged(digest, damage):
+    content = _CONTENT[digest]
     if damage == 'altered':
         return bytes([content[0] ^ 1]) + content[1:]
     if damage == 'short':
         return content[:-1]
     if damage == 'swap':
-        return _CONTENT[_DIGESTS[index - 1]]
+        return _CONTENT[_DIGESTS[_DIGESTS.index(digest) - 1]]
     return content
 
 
 def _apply(store, action, index, detail):
     if action == 'chunk':
-        store.offer_chunk(_DIGESTS[index], _damaged(index, detail))
+        digest = _DIGESTS[index]
+        store.offer_chunk(digest, _damaged(digest, detail))
         return
     build = _OFFERED[index]
     offer = store.offer_manifest(build.manifest)
@@ -90,8 +93,9 @@
     while set(offer.missing) - asked:
         digest = next(one for one in offer.missing if one not in asked)
         asked.add(digest)
-        if len(asked) != detail:
-            answer = store.offer_chunk(digest, _CONTENT[digest])
+        damage = detail[1] if len(asked) == detail[0] else 'intact'
+        if damage != 'lost':
+            answer = store.offer_chunk(digest, _damaged(digest, damage))
             offer = answer if answer.missing else offer
 
 
@@ -180,7 +184,8 @@
     """Guards against one bad peer spoiling a bundle for good."""
     store = BundleStore([KEYS.public])
     digest = store.offer_manifest(_VALID[0].manifest).missing[0]
-    offer = store.offer_chunk(digest, b'other')
+    content = _CONTENT[digest]
+    offer = store.offer_chunk(digest, content[::-1])
     assert offer.status == 'invalid'
     assert digest in offer.missing
     assert deliver(store, _VALID[0]).status == 'accepted'
