--- a/tests/test_document.py
+++ b/tests/test_document.py
@@ -10,7 +10,12 @@
 
 from oleanderridge.compiled_schema import completed
 from oleanderridge.config.assembly import _from_chunks, assemble
-from oleanderridge.config.chunks import CHUNK_LIMIT_BYTES, join, split
+from oleanderridge.config.chunks import (
+    CHUNK_LIMIT_BYTES,
+    digest_of,
+    join,
+    split,
+)
 from oleanderridge.config.document import (
     canonical,
     decode,
@@ -269,6 +274,20 @@
     assert assembled.document == decode(content).unwrap()
 
 
+def test_chunks_that_do_not_join_to_json_are_refused():
+    """Guards against decoding chunk by chunk what is no document."""
+    pieces = list(split(canonical(document(count=900))).values())
+    without_comma = [*pieces]
+    without_comma[1] = pieces[1].removesuffix(b',\n') + b'\n'
+    end = pieces.index(b'],"services":[\n')
+    with_comma = [*pieces]
+    with_comma[end - 1] = pieces[end - 1].removesuffix(b'\n') + b',\n'
+    for faulty in (without_comma, with_comma):
+        chunks = {digest_of(piece): piece for piece in faulty}
+        manifest = sign(1, '', chunks, KEYS.secret)
+        assert 'not JSON' in assemble(manifest, chunks, {}).unwrap_err()
+
+
 @pytest.mark.parametrize(
     'content',
     [b'\0' * (3 * CHUNK_LIMIT_BYTES), b'{"a"},\n' * 400_000, b'', b'\n' * 9],
