--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -43,6 +43,10 @@
         ('telemetry: {log_level: loud}', '$.telemetry.log_level'),
         ('forward: {attempt_max: 3}', '$.forward.attempt_max'),
         ('zone: z2', '$.zone'),
+        ('membership: {hold_s: .inf}', '$.membership.hold_s'),
+        ('membership: {hold_s: .nan}', '$.membership.hold_s'),
+        ('membership: {hold_s: 1.0e+300}', '$.membership.hold_s'),
+        (f'forward: {{keys_max: {"9" * 30}}}', '$.forward.keys_max'),
     ],
 )
 def test_fault_is_found_with_line_and_path(line, path):
