--- a/bench/experiments.py
+++ b/bench/experiments.py
@@ -128,9 +128,14 @@
 def run_detection(options: Namespace) -> None:
     """Replay recorded faults against the policy of a setting."""
     seeds = range(options.seed, options.seed + options.seeds)
-    for setting, (targets, policy) in SETTINGS.items():
+    changed = {name: float(value) for name, value in options.policy}
+    for setting, (targets, own) in SETTINGS.items():
+        policy = HealthPolicy(**{**own, **changed})
         for name in options.faults or scenarios():
-            traces = [record(name, targets, seed) for seed in seeds]
+            scenario = scenarios()[name]
+            if options.duration:
+                scenario = scenario._replace(duration_s=options.duration)
+            traces = [record(name, targets, seed, scenario) for seed in seeds]
             print(
                 f'setting={setting} targets={targets} fault={name}'
                 f' {_outcomes(replay_all(traces, policy))}',
@@ -179,6 +184,14 @@
     detection.add_argument('--seed', type=int, default=1)
     detection.add_argument('--seeds', type=int, default=10)
     detection.add_argument('--faults', nargs='*')
+    detection.add_argument(
+        '--policy',
+        nargs='*',
+        default=[],
+        type=lambda text: text.split('='),
+        help='thresholds that replace those of the setting: name=value',
+    )
+    detection.add_argument('--duration', type=float)
     detection.set_defaults(run=run_detection)
     return root
 
--- a/oleanderridge/health/evidence.py
+++ b/oleanderridge/health/evidence.py
@@ -130,11 +130,11 @@
 
     def merged(self, passing: Mapping[str, float]) -> dict[str, float]:
         """Return the scores by zone with passing evidence added."""
-        zones = self.by_zone.keys() | passing.keys()
-        return {
-            zone: self.by_zone.get(zone, -self._credit) + passing.get(zone, 0)
-            for zone in zones
-        }
+        scores = dict(self.by_zone)
+        for zone, score in passing.items():
+            if score > 0:
+                scores[zone] = max(0, scores.get(zone, 0)) + score
+        return scores
 
     def hosts(self) -> set[str]:
         """Return the hosts whose evidence has raised a score above zero."""
--- a/oleanderridge/health/latency.py
+++ b/oleanderridge/health/latency.py
@@ -17,6 +17,10 @@
 _WARM_SAMPLES: Final = 50
 _SMOOTHING: Final = 0.5
 _SCORE_MAX: Final = 4
+# Two requests that both slots of a target never answer suffice to eject it
+# with the default threshold: together they reach 16.
+_IN_FLIGHT_MAX: Final = 8
+_BEYOND_PER_BIN: Final = 0.5
 
 
 def _bin(latency_ms: float) -> int:
@@ -80,9 +84,20 @@
         ]
         self._scores = _monotone(ratios, _median_bin(counts))
         surviving = zip(_tail_sums(stretched), _tail_sums(counts), strict=True)
-        self._in_flight_scores = list(
-            accumulate((_clipped_ratio(*pair) for pair in surviving), max)
-        )
+        ratios = [_clipped_ratio(*pair) for pair in surviving]
+        self._in_flight_scores = _extrapolated(ratios, counts)
+
+
+def _extrapolated(ratios: list[float], counts: list[float]) -> list[float]:
+    """Continue the evidence beyond the longest latency in the profile."""
+    populated = [
+        index for index, count in enumerate(counts) if count >= _SMOOTHING
+    ]
+    last = populated[-1]
+    return [
+        min(_IN_FLIGHT_MAX, score + max(0, index - last) * _BEYOND_PER_BIN)
+        for index, score in enumerate(accumulate(ratios, max))
+    ]
 
 
 def _median_bin(counts: list[float]) -> int:
--- a/oleanderridge/health/service.py
+++ b/oleanderridge/health/service.py
@@ -10,7 +10,6 @@
 from oleanderridge.health.evidence import (
     FAILURES,
     PathEvidence,
-    ZoneScores,
     failure_score,
     run_limit,
 )
@@ -63,6 +62,24 @@
     started: float
 
 
+class Waiting:
+    """Evidence of the requests that one target has not answered yet."""
+
+    def __init__(self) -> None:
+        self.score_by_zone: dict[str, float] = {}
+        self.hosts: set[str] = set()
+
+    def add(self, flight: Flight, score: float) -> None:
+        """Add the evidence of one request."""
+        before = self.score_by_zone.get(flight.zone, 0)
+        self.score_by_zone[flight.zone] = before + score
+        if score > 0:
+            self.hosts.add(flight.host)
+
+
+_NOTHING_WAITING: Final = Waiting()
+
+
 class _Cached(NamedTuple):
     """Candidates of one host, computed at a time."""
 
@@ -94,6 +111,7 @@
             target['name']: TargetRecord(target, self._policy)
             for target in service['targets']
         }
+        self._waiting: dict[str, Waiting] = {}
         self._observer_by_host: dict[str, _Observer] = {}
         self._zones: frozenset[str] = frozenset()
         self._forget_at: float = 0
@@ -152,6 +170,9 @@
             self._cache.clear()
             record.pause(now)
         elif outcome in FAILURES:
+            if outcome == 'timeout':
+                evidence = self._profile.in_flight_score(latency_ms)
+                record.slowness.add(host, zone, evidence)
             self._observe_failure(record, host, zone, now)
         else:
             self._observe_answer(record, (host, zone), latency_ms, now)
@@ -162,13 +183,18 @@
         A target that never answers would otherwise show nothing before its
         first timeout.
         """
-        flights_by_target: dict[str, list[Flight]] = {}
+        self._waiting = {}
         for flight in flights:
-            flights_by_target.setdefault(flight.target, []).append(flight)
-        for name, waiting in flights_by_target.items():
+            waiting = self._waiting.get(flight.target)
+            if waiting is None:
+                waiting = Waiting()
+                self._waiting[flight.target] = waiting
+            age_ms = (now - flight.started) * 1000
+            waiting.add(flight, self._profile.in_flight_score(age_ms))
+        for name in self._waiting:
             record = self._by_name.get(name)
             if record is not None and record.state == HEALTHY:
-                self._judge_slowness(record, waiting, now)
+                self._judge_slowness(record, now)
 
     def candidates(
         self,
@@ -316,7 +342,7 @@
         if record.state == HEALTHY:
             self._profile.add(latency_ms)
             if evidence > 0:
-                self._judge_slowness(record, (), now)
+                self._judge_slowness(record, now)
 
     def _usual_failures(self, record: TargetRecord) -> float:
         shares = [
@@ -336,7 +362,8 @@
         limit = run_limit(self._policy['consecutive_failures'], usual)
         agreed = record.run.length >= limit and self._seen_widely(record)
         threshold = failure_threshold(self._policy)
-        if agreed or self._agrees(record.failing, {}, set(), threshold):
+        failing = record.failing
+        if agreed or self._agrees(failing.by_zone, failing.hosts(), threshold):
             self._eject(record, 'failures', now)
             return
         by_host, by_zone = paths
@@ -352,27 +379,17 @@
         zones = min(2, len(self._zones))
         return len(seen) >= hosts and len(set(seen.values())) >= zones
 
-    def _judge_slowness(
-        self,
-        record: TargetRecord,
-        waiting: Collection[Flight],
-        now: float,
-    ) -> None:
-        passing: dict[str, float] = {}
-        for flight in waiting:
-            age_ms = (now - flight.started) * 1000
-            score = self._profile.in_flight_score(age_ms)
-            passing[flight.zone] = passing.get(flight.zone, 0) + score
-        slow_start_s = self._policy['slow_start_s']
+    def _judge_slowness(self, record: TargetRecord, now: float) -> None:
         threshold = latency_threshold(self._policy)
-        if record.weight(now, slow_start_s) < 1:
+        if record.weight(now, self._policy['slow_start_s']) < 1:
             # A cold target is slow for a while without a fault.
             threshold *= 2
-        hosts = {unanswered.host for unanswered in waiting}
-        if self._agrees(record.slowness, passing, hosts, threshold):
-            usual = self._usual_slowness(record)
-            total = sum(record.slowness.merged(passing).values())
-            if total - usual >= threshold:
+        waiting = self._waiting.get(record.name, _NOTHING_WAITING)
+        merged = record.slowness.merged(waiting.score_by_zone)
+        hosts = record.slowness.hosts() | waiting.hosts
+        if self._agrees(merged, hosts, threshold):
+            excess = sum(merged.values()) - self._usual_slowness(record)
+            if excess >= threshold:
                 self._eject(record, 'latency', now)
 
     def _usual_slowness(self, record: TargetRecord) -> float:
@@ -381,29 +398,27 @@
         When all targets become slow together, no target is to blame.
         """
         scores = [
-            sum(other.slowness.by_zone.values())
+            self._slowness(other)
             for other in self._by_name.values()
             if other is not record and other.state == HEALTHY
         ]
         return max(0, median(scores)) if scores else 0
 
+    def _slowness(self, record: TargetRecord) -> float:
+        waiting = self._waiting.get(record.name, _NOTHING_WAITING)
+        return sum(record.slowness.merged(waiting.score_by_zone).values())
+
     def _agrees(
-        self,
-        scores: ZoneScores,
-        passing: dict[str, float],
-        waiting_hosts: set[str],
-        threshold: float,
+        self, by_zone: dict[str, float], hosts: set[str], threshold: float
     ) -> bool:
-        merged = scores.merged(passing)
-        total = sum(merged.values())
+        total = sum(by_zone.values())
         if total < threshold:
             return False
-        hosts = scores.hosts() | waiting_hosts
         if len(hosts) < min(2, len(self._observer_by_host)):
             return False
         if len(self._zones) < 2:
             return True
-        return total - max(merged.values()) >= threshold * _SECOND_ZONE
+        return total - max(by_zone.values()) >= threshold * _SECOND_ZONE
 
     def _eject(self, record: TargetRecord, reason: str, now: float) -> None:
         self._cache.clear()
