Ask all minters in random order once the own bucket runs down

Ruled out: grant times (0.06 s of hold leaves enough grants). Change: TokenBuckets.sources decides the order; the own bucket is first only above three quarters of its capacity.

--- a/oleanderridge/admission/buckets.py
+++ b/oleanderridge/admission/buckets.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Iterable, Sequence
 from math import ceil
+from random import Random
 from typing import Any, Final, NamedTuple
 
 from oleanderridge.admission.bucket import Bucket
@@ -31,6 +32,13 @@
 NO_LEASE: Final = 'no-lease'
 NOT_MINTER: Final = 'not-minter'
 
+# Share of its capacity above which the own bucket comes first. If it were
+# always drained first, the buckets of the other minters would stay full
+# meanwhile and their share of the rate would be lost: 2.0% of the requests of
+# a workspace with burst 20 at 94% of its rate, all at one host, were refused
+# then, 1.1% with 0.5 and 0.8% with 0.75.
+LOCAL_FIRST_SHARE: Final = 0.75
+
 
 class Take(NamedTuple):
     """Outcome of asking the local bucket for one token."""
@@ -218,6 +226,44 @@
         )
         return tuple(host for host in listed if host != self._host)
 
+    def sources(
+        self,
+        workspace: str,
+        now: float,
+        lease_until: float,
+        rng: Random,
+    ) -> tuple[str, ...]:
+        """Return the hosts to ask for a token, in order.
+
+        The own bucket comes first only while it is nearly full.
+
+        Parameters
+        ----------
+        workspace : str
+            Workspace name.
+        now : float
+            Monotonic seconds.
+        lease_until : float
+            From the membership, for this moment.
+        rng : Random
+            Spreads the requests over the minters.
+
+        Returns
+        -------
+        tuple of str
+            Minters, the own host among them when it is one.
+        """
+        self.note_lease(now, lease_until)
+        others = list(self.minters(workspace))
+        rng.shuffle(others)
+        bucket = self._bucket(workspace, now)
+        if bucket is None or lease_until <= now:
+            return tuple(others)
+        if bucket.level >= bucket.capacity * LOCAL_FIRST_SHARE:
+            return (self._host, *others)
+        place = rng.randrange(len(others) + 1)
+        return (*others[:place], self._host, *others[place:])
+
     def snapshot(self, limit: int) -> list[dict[str, Any]]:
         """Return the emptiest buckets for the status page.
 
--- a/oleanderridge/runtime/tokens.py
+++ b/oleanderridge/runtime/tokens.py
@@ -73,18 +73,20 @@
             ``no-lease`` when none of them can say.
         """
         node = self._node
-        taken = node.buckets.take(workspace, node.clock(), node.lease_until())
-        if taken.status == 'taken':
-            node.metrics.tokens.inc({'result': 'local'})
-            return Ok(Token(workspace, ''))
-        waits = [taken.retry_after_s] if taken.status == 'empty' else []
-        for minter in self._reachable_minters(workspace, waits):
-            reply = await self._ask(workspace, minter)
-            if reply is not None and reply['granted']:
-                node.metrics.tokens.inc({'result': 'granted'})
-                return Ok(Token(workspace, minter))
-            if reply is not None and reply['reason'] != 'no-lease':
-                waits.append(reply['retry_after_ms'] / _MS_PER_S)
+        sources = node.buckets.sources(
+            workspace,
+            node.clock(),
+            node.lease_until(),
+            node.rng,
+        )
+        waits: list[float] = []
+        for source in self._reachable(workspace, sources, waits):
+            if source == node.host:
+                token = self._take(workspace, waits)
+            else:
+                token = await self._ask(workspace, source, waits)
+            if token is not None:
+                return Ok(token)
         if waits:
             node.metrics.tokens.inc({'result': 'rate-exceeded'})
             return Err(refuse('rate-exceeded', workspace, min(waits)))
@@ -103,25 +105,49 @@
         if not token.host:
             self._node.buckets.refund(token.workspace, self._node.clock())
 
-    def _reachable_minters(
+    def _reachable(
         self,
         workspace: str,
+        sources: tuple[str, ...],
         waits: list[float],
     ) -> list[str]:
         node = self._node
         now = node.clock()
         alive = {member.host for member in node.members() if member.alive}
         chosen = []
-        for minter in node.buckets.minters(workspace):
+        for minter in sources:
             empty_until = self._empty_until_by_pair.get((workspace, minter), 0)
             if empty_until > now:
                 waits.append(empty_until - now)
-            elif minter in alive:
+            elif minter == node.host or minter in alive:
                 chosen.append(minter)
-        node.rng.shuffle(chosen)
         return chosen
 
-    async def _ask(self, workspace: str, minter: str) -> Message | None:
+    def _take(self, workspace: str, waits: list[float]) -> Token | None:
+        node = self._node
+        taken = node.buckets.take(workspace, node.clock(), node.lease_until())
+        if taken.status == 'taken':
+            node.metrics.tokens.inc({'result': 'local'})
+            return Token(workspace, '')
+        if taken.status == 'empty':
+            waits.append(taken.retry_after_s)
+        return None
+
+    async def _ask(
+        self,
+        workspace: str,
+        minter: str,
+        waits: list[float],
+    ) -> Token | None:
+        reply = await self._request(workspace, minter)
+        if reply is not None and reply['granted']:
+            self._node.metrics.tokens.inc({'result': 'granted'})
+            return Token(workspace, minter)
+        if reply is not None and reply['reason'] != 'no-lease':
+            waits.append(reply['retry_after_ms'] / _MS_PER_S)
+        return None
+
+    async def _request(self, workspace: str, minter: str) -> Message | None:
         node = self._node
         request_id = uuid4().hex
         sent_at = node.clock()
