--- a/tests/test_idempotency.py
+++ b/tests/test_idempotency.py
@@ -53,13 +53,14 @@
         self.open = []
         self.claimed_at = {}
         self.ended = {}
+        self.home_since = -1e6
         self.restart()
 
     @rule()
     def restart(self):
         self.incarnation += 1
         self.started = self.now
-        self.home_since = self.now
+        self.open = []
         self.register = KeyRegister(SETTINGS, self.incarnation, self.now)
 
     @rule(seconds=st.sampled_from([0.5, 3.0, 9.5, 11.0]))
@@ -84,22 +85,32 @@
         if back is not None:
             issued = max(int(self.now) - back, 0)
             key = f'host-a.{self.incarnation - previous}.{issued}.{unique}'
+        self._claim((workspace, key), leased, fingerprint)
+
+    @rule(which=st.integers(0, 9), fingerprint=st.sampled_from(['f', 'g']))
+    def claim_again(self, which, fingerprint):
+        if self.claimed_at:
+            names = sorted(self.claimed_at)
+            self._claim(names[which % len(names)], True, fingerprint)
+
+    def _claim(self, name, leased, fingerprint):
         self.claims += 1
         claim_id = f'c-{self.claims}'
-        message = claim_message(key, claim_id, workspace, fingerprint)
+        message = claim_message(name[1], claim_id, name[0], fingerprint)
         reply = self.register.claim(message, self.now, self.home_since, leased)
         assert reply['claim_id'] == claim_id
-        name = (workspace, key)
         state = reply['state']
         if state == 'claimed':
-            self._check_claimed(name, back, leased, previous)
+            self._check_claimed(name, leased)
             self.claimed_at[name] = self.now
             self.ended.pop(name, None)
             self.open.append((name, claim_id, fingerprint))
             again = self.register.claim(message, self.now, 0, False)
             assert again == reply
         elif state == 'done':
-            assert self.ended[name] == (fingerprint, reply['answer']['body'])
+            body = reply['answer']['body']
+            assert self.ended[name] == (fingerprint, body)
+            assert len(body) <= 8
         elif state == 'in-progress':
             assert (name, fingerprint) in {
                 (entry[0], entry[2]) for entry in self.open
@@ -107,18 +118,18 @@
         elif state == 'full':
             assert len(self.register) == SETTINGS['forward']['keys_max']
 
-    def _check_claimed(self, name, back, leased, previous):
-        if back is None:
+    def _check_claimed(self, name, leased):
+        key = parse_key(name[1]).unwrap()
+        if key.host:
+            assert name not in self.claimed_at
+            assert key.incarnation == self.incarnation
+            assert key.issued <= self.now < key.issued + LIFETIME
+        else:
             assert leased
             known = max(self.started, self.home_since)
             assert self.now - known >= LIFETIME
             last = self.claimed_at.get(name)
             assert last is None or self.now - last >= LIFETIME
-        else:
-            assert name not in self.claimed_at
-            assert not previous
-            issued = int(name[1].split('.')[2])
-            assert issued <= self.now < issued + LIFETIME
 
     @rule(
         which=st.integers(0, 9),
@@ -135,12 +146,21 @@
         )
         if state == 'not-run':
             self.claimed_at.pop(name, None)
-        elif state == 'done':
+            return
+        if state == 'done':
             self.ended[name] = (fingerprint, body)
+        if '.' not in key and self.now - self.claimed_at[name] < LIFETIME:
+            self.claimed_at[name] = self.now
+        self.register.complete(
+            outcome_message(key, claim_id, 'not-run', None, workspace),
+            self.now,
+        )
 
-    @rule(name=st.sampled_from([('mill', 'a'), ('loom', 'a')]))
-    def foreign_completion(self, name):
-        workspace, key = name
+    @rule(which=st.integers(0, 9))
+    def foreign_completion(self, which):
+        if not self.open:
+            return
+        workspace, key = self.open[which % len(self.open)][0]
         self.register.complete(
             outcome_message(key, 'c-none', 'not-run', None, workspace),
             self.now,
@@ -176,6 +196,16 @@
     assert register.claim(fresh, 10, -100, True)['state'] == 'claimed'
 
 
+def test_completion_extends_a_plain_key():
+    """Guards against forgetting an order soon after it has ended."""
+    register = KeyRegister(SETTINGS, 1, -100)
+    register.claim(claim_message('k', 'c1'), 0, -100, True)
+    register.complete(outcome_message('k', 'c1', 'done', b'ok'), 8)
+    for now, state in ((17, 'done'), (18, 'claimed')):
+        message = claim_message('k', f'c-{now}')
+        assert register.claim(message, now, -100, True)['state'] == state
+
+
 def test_freed_keys_leave_no_trace():
     """Guards against memory that grows with freed keys."""
     register = KeyRegister(SETTINGS, 1, -100)
--- a/tests/test_scrub.py
+++ b/tests/test_scrub.py
@@ -139,6 +139,13 @@
     assert scrub(sent).unwrap_err().reason == 'key-in-request'
 
 
+def test_key_in_a_long_body_is_refused():
+    """Guards against a search that long bodies escape."""
+    body = b'%' * 70000 + b'key-of-mill'
+    sent = inbound(headers=[('X-Api-Key', 'key-of-mill')], body=body)
+    assert scrub(sent).unwrap_err().reason == 'key-in-request'
+
+
 def test_everything_else_is_passed_on_unchanged():
     """Guards against innocent parts lost together with the key."""
     kept = (
@@ -157,6 +164,8 @@
     assert clean.key == 'secret-key'
     assert clean.request == sent._replace(query='a=1&b=%20&&c', headers=kept)
     assert scrub(clean.request).unwrap() == (None, clean.request)
+    empty = inbound(headers=[('Authorization', 'Bearer'), ('X-Api-Key', '')])
+    assert scrub(empty).unwrap() == (None, inbound())
 
 
 def test_requests_that_cannot_be_read_in_one_way_are_refused():
