--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -4,6 +4,7 @@
 import contextlib
 import functools
 import json
+import socket
 
 import pytest
 from hypothesis import given, settings
@@ -185,6 +186,29 @@
         assert refused(reply) == ('target-reset', 'unknown')
 
 
+@in_loop
+async def test_hanging_connection_is_not_run():
+    """Guards against blaming a target for its caller's short deadline."""
+    with contextlib.ExitStack() as stack:
+        listener, *fillers = (
+            stack.enter_context(socket.socket()) for _ in range(5)
+        )
+        listener.bind(('127.0.0.1', 0))
+        listener.listen(0)
+        for filler in fillers:
+            filler.setblocking(False)
+            filler.connect_ex(listener.getsockname())
+        async with served() as (_, host):
+            host.urls = (f'http://127.0.0.1:{listener.getsockname()[1]}',)
+            reply = await host.handle(request('POST'))
+            assert refused(reply) == ('connect-failed', 'not-run')
+            hurry = [('Request-Deadline-Ms', '100')]
+            reply = await host.handle(request('POST', hurry))
+            assert refused(reply) == ('deadline', 'not-run')
+            assert host.released == ['connect-failed'] * 3 + ['unused']
+            assert len(host.refunded) == 2
+
+
 @pytest.mark.parametrize('fault', ['none', 'short body', 'no final chunk'])
 @in_loop
 async def test_streamed_answer_is_whole_or_raises(fault):
@@ -526,6 +550,8 @@
         assert header(again, 'idempotent-replay') == 'true'
         other = await host.handle(request('POST', ORDER, b'b'))
         assert refused(other) == ('bad-request', 'not-run')
+        two = [*ORDER, ('Idempotency-Key', 'order-9')]
+        assert refused(await host.handle(request('POST', two)))[1] == 'not-run'
         target.behave = reset_after_work
         lost = [('Idempotency-Key', 'order-2')]
         await host.handle(request('POST', lost))
