--- a/bench/forward_host.py
+++ b/bench/forward_host.py
@@ -123,6 +123,7 @@
         self.index = 'allowed'
         self.released: list[str] = []
         self.refunded: list[Token] = []
+        self.admitted: list[str] = []
         self.acquired = 0
         self.permit_s = 10.0
         self.permit_wait: asyncio.Event | None = None
@@ -160,7 +161,7 @@
             match=self._match,
             authorise=_authorise,
             service=lambda _name: self.service,
-            admit=_admit,
+            admit=self._admit,
             acquire=self._acquire,
             release=self._release,
             refund=self.refunded.append,
@@ -177,6 +178,10 @@
     def _release(self, _permit: Permit, outcome: str, _ms: float) -> None:
         self.released.append(outcome)
 
+    async def _admit(self, workspace: str) -> Result[Token, Refusal]:
+        self.admitted.append(workspace)
+        return Ok(Token(workspace, ''))
+
     async def _acquire(
         self, service: str, _id: str, _workspace: str, *_rest: Any
     ) -> Result[Permit, Refusal]:
@@ -215,17 +220,13 @@
 
 
 def _authorise(
-    index: str, _route: Any, _key: str | None
+    index: str, _route: Any, key: str | None
 ) -> Result[str, Refusal]:
     if index == 'allowed':
-        return Ok('mill')
+        return Ok('mill' if key else 'open')
     return Err(refuse('key-unknown'))
 
 
-async def _admit(workspace: str) -> Result[Token, Refusal]:
-    return Ok(Token(workspace, ''))
-
-
 @asynccontextmanager
 async def served(
     *urls: str, target: FaultyTarget | None = None, **service: Any
--- a/oleanderridge/forward/forwarder.py
+++ b/oleanderridge/forward/forwarder.py
@@ -56,8 +56,6 @@
 from oleanderridge.generated.settings import Settings
 from oleanderridge.refusals import UNKNOWN, Refusal, refuse
 
-OPEN_WORKSPACE: Final = 'open'
-
 _SAFE_METHODS: Final = frozenset(('GET', 'HEAD', 'OPTIONS'))
 _ROUTE_METHODS: Final = frozenset(('PUT', 'DELETE'))
 _METHOD_FORM: Final = re.compile('(?!CONNECT$)[A-Z][A-Z-]*')
@@ -310,7 +308,8 @@
         return None
 
     async def _admit(self, live: _Live) -> Result[None, Refusal]:
-        if live.workspace == OPEN_WORKSPACE:
+        if live.key is None:
+            # An open route; no workspace pays for the request.
             return Ok(None)
         admitted = await self._in_time(
             live, partial(self._ports.admit, live.workspace)
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -435,6 +435,17 @@
         assert len(target.seen) == 5
 
 
+@in_loop
+async def test_open_request_takes_no_token():
+    """Guards against a rate that nobody has on an open route."""
+    async with served() as (target, host):
+        await host.handle(request()._replace(headers=()))
+        assert not host.admitted
+        await host.handle(request())
+        assert host.admitted == ['mill']
+        assert len(target.seen) == 2
+
+
 @in_loop
 async def test_shed_request_goes_to_another_target():
     """Guards against passing on a refusal while other targets have room."""
