--- a/oleanderridge/config/assembly.py
+++ b/oleanderridge/config/assembly.py
@@ -15,7 +15,7 @@
     decode_entries,
     head_line,
 )
-from oleanderridge.config.rules import reference_faults
+from oleanderridge.config.rules import additions_hold
 from oleanderridge.findings import format_finding
 from oleanderridge.generated.bundle import BundleDocument
 from oleanderridge.generated.messages import Manifest
@@ -83,44 +83,48 @@
     content_by_digest: Mapping[str, bytes],
     known: EntriesByChunk,
 ) -> Assembly | None:
-    groups = _digests_by_section(manifest, content_by_digest)
-    if groups is None:
+    chunks = _chunks_by_section(manifest, content_by_digest)
+    # A repeated chunk repeats its entries.
+    if chunks is None or len(set(chunks)) != len(chunks):
         return None
     entries_by_chunk: EntriesByChunk = {}
+    kept: dict[str, list[Any]] = {section: [] for section in SECTIONS}
+    added: dict[str, list[Any]] = {section: [] for section in SECTIONS}
     document: dict[str, Any] = {
         'version': manifest['version'],
         'parent': manifest['parent'],
+        **{section: [] for section in SECTIONS},
     }
-    for section, digests in groups.items():
-        entries: list[Any] = []
-        document[section] = entries
-        for digest in digests:
-            found = known.get((section, digest)) or decode_entries(
-                section, _lines(content_by_digest[digest])
-            )
-            if not found:
-                return None
-            entries_by_chunk[section, digest] = found
-            entries.extend(found)
-    complete = cast(BundleDocument, document)
-    if any(reference_faults(complete)):
+    for chunk in chunks:
+        section, digest = chunk
+        entries = known.get(chunk)
+        group = added if entries is None else kept
+        if entries is None:
+            lines = _lines(content_by_digest[digest])
+            entries = decode_entries(section, lines)
+        if not entries:
+            return None
+        entries_by_chunk[chunk] = entries
+        group[section].extend(entries)
+        document[section].extend(entries)
+    if not additions_hold(kept, added):
         return None
-    return Assembly(complete, entries_by_chunk)
+    return Assembly(cast(BundleDocument, document), entries_by_chunk)
 
 
 def _lines(content: bytes) -> bytes:
     return content.removesuffix(b'\n').removesuffix(b',')
 
 
-def _digests_by_section(
+def _chunks_by_section(
     manifest: Manifest, content_by_digest: Mapping[str, bytes]
-) -> dict[str, list[str]] | None:
+) -> list[tuple[str, str]] | None:
     listed = leaves(manifest['chunks'], content_by_digest)
     digests = [entry['digest'] for entry in listed.unwrap_or([])]
     head = head_line(manifest['version'], manifest['parent'])
     if not digests or content_by_digest[digests[0]] != head:
         return None
-    groups: dict[str, list[str]] = {}
+    chunks: list[tuple[str, str]] = []
     start = 1
     for section, closing in zip(SECTIONS, SECTION_LINES[1:], strict=True):
         end = start
@@ -129,9 +133,9 @@
         group = digests[start:end]
         if end == len(digests) or not _commas_fit(group, content_by_digest):
             return None
-        groups[section] = group
+        chunks.extend((section, digest) for digest in group)
         start = end + 1
-    return groups if start == len(digests) else None
+    return chunks if start == len(digests) else None
 
 
 def _commas_fit(
--- a/oleanderridge/config/rules.py
+++ b/oleanderridge/config/rules.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator, Mapping
 from itertools import chain
+from operator import itemgetter
 from typing import Any, Final
 
 from oleanderridge.addresses import is_address_url
@@ -19,6 +20,9 @@
     ('GET', 'HEAD', 'OPTIONS', 'POST', 'PUT', 'DELETE', 'PATCH')
 )
 _ANY_METHOD: Final = 'every method'
+_NAME: Final = itemgetter('name')
+_KEY_HASHES: Final = itemgetter('key_hashes')
+_TARGETS: Final = itemgetter('targets')
 # Sending one of these twice may run it twice, whatever the operator says.
 _NEVER_IDEMPOTENT: Final = frozenset(('POST', 'PATCH'))
 # Paths below this prefix belong to the proxy itself.
@@ -130,16 +134,17 @@
     )
     if len(set(hashes)) == len(hashes):
         return
-    owners: dict[str, int] = {}
+    owners: dict[str, str] = {}
     for position, workspace in enumerate(workspaces):
         for place, key_hash in enumerate(workspace['key_hashes']):
-            owner = owners.setdefault(key_hash, position)
-            if owner != position:
+            owner = owners.get(key_hash)
+            if owner is not None:
                 yield (
                     ('workspaces', position, 'key_hashes', place),
-                    f'the key of workspace {workspace["name"]} also belongs '
-                    f'to {workspaces[owner]["name"]}',
+                    f'the key of workspace {workspace["name"]} is also listed '
+                    f'in {owner}',
                 )
+            owners[key_hash] = workspace['name']
 
 
 def _target_faults(services: list[Service]) -> Iterator[Fault]:
@@ -199,3 +204,91 @@
     if method == _ANY_METHOD:
         return next(iter(taken.values()), None)
     return taken.get(method, taken.get(_ANY_METHOD))
+
+
+def additions_hold(
+    kept: Mapping[str, list[Any]], added: Mapping[str, list[Any]]
+) -> bool:
+    """Tell whether kept and added entries make up a valid document.
+
+    It finds what ``reference_faults`` finds, but compares the kept entries
+    with the added ones only.
+
+    Parameters
+    ----------
+    kept : mapping of str to list
+        Entries by section that are all part of one valid document.
+    added : mapping of str to list
+        Other entries by section; they match the schema.
+
+    Returns
+    -------
+    bool
+        False when there is any fault between entries; the full check tells
+        which.
+    """
+    unique = all(
+        _disjoint(values_of(added[section]), values_of(kept[section]))
+        for section, values_of in _UNIQUE_VALUES
+    )
+    return (
+        unique
+        and _routes_hold(kept['routes'], added['routes'])
+        and _references_hold(kept, added)
+    )
+
+
+def _disjoint(added: Iterable[str], kept: Iterable[str]) -> bool:
+    values = list(added)
+    distinct = set(values)
+    if len(distinct) != len(values):
+        return False
+    return not distinct or distinct.isdisjoint(kept)
+
+
+def _names(entries: list[Any]) -> Iterator[str]:
+    return map(_NAME, entries)
+
+
+def _keys(workspaces: list[Workspace]) -> Iterator[str]:
+    return chain.from_iterable(map(_KEY_HASHES, workspaces))
+
+
+def _target_names(services: list[Service]) -> Iterator[str]:
+    return map(_NAME, chain.from_iterable(map(_TARGETS, services)))
+
+
+def _target_places(services: list[Service]) -> Iterator[str]:
+    targets = chain.from_iterable(map(_TARGETS, services))
+    return (target['url'].removesuffix('/') for target in targets)
+
+
+_UNIQUE_VALUES: Final[
+    tuple[tuple[str, Callable[[list[Any]], Iterator[str]]], ...]
+] = (
+    ('workspaces', _names),
+    ('workspaces', _keys),
+    ('services', _names),
+    ('services', _target_names),
+    ('services', _target_places),
+)
+
+
+def _routes_hold(kept: list[Route], added: list[Route]) -> bool:
+    prefixes = {route['prefix'] for route in added}
+    near = [route for route in kept if route['prefix'] in prefixes]
+    return not any(_overlap_faults([*near, *added]))
+
+
+def _references_hold(
+    kept: Mapping[str, list[Any]], added: Mapping[str, list[Any]]
+) -> bool:
+    routes = [*kept['routes'], *added['routes']]
+    services = {route['service'] for route in routes}
+    named = chain.from_iterable(route.get('workspaces', ()) for route in routes)
+    workspaces = set(named)
+    for group in (kept, added):
+        services.difference_update(map(_NAME, group['services']))
+        if workspaces:
+            workspaces.difference_update(map(_NAME, group['workspaces']))
+    return not services and not workspaces
--- a/tests/test_document.py
+++ b/tests/test_document.py
@@ -1,10 +1,9 @@
 """Documents are checked completely and survive encoding and splitting."""
 
-import re
 from copy import deepcopy
 
 import pytest
-from hypothesis import given, settings
+from hypothesis import assume, given, settings
 from hypothesis import strategies as st
 from msgspec import ValidationError
 
@@ -22,6 +21,7 @@
     parse_source,
     validate,
 )
+from oleanderridge.config.rules import additions_hold, reference_faults
 from oleanderridge.config.signing import sign
 from oleanderridge.schema_check import fill_defaults, schema_faults
 from tests.bundle_samples import KEYS, bundle, document
@@ -176,14 +176,10 @@
 
 _NAMES = st.sampled_from(('a', 'b0', 'c-c', 'd' * 63))
 _JUNK = st.one_of(
-    st.none(),
-    st.booleans(),
     st.integers(-2, 10**19),
     st.floats(allow_nan=False),
     st.text(max_size=4),
-    st.just([]),
-    st.just({}),
-    st.just(['GET']),
+    st.sampled_from((None, False, [], {}, ['GET'])),
 )
 
 
@@ -257,6 +253,52 @@
     assert parts is None or parts.document == whole
 
 
+_entries = {
+    'workspaces': [
+        _workspace('a', key_hashes=[_HASH]),
+        _workspace('b', key_hashes=[_HASH, 'e' * 64]),
+        _workspace('b', key_hashes=['d' * 64]),
+        _workspace('c', key_hashes=['d' * 64, 'd' * 64]),
+        _workspace('e'),
+    ],
+    'services': [
+        _service('s0', 't0', 1),
+        _service('s0', 't1', 2),
+        _service('s1', 't1', 3),
+        _service('s2', 't2', 2),
+    ],
+    'routes': [
+        _route('/a'),
+        _route('/a', methods=['GET']),
+        _route('/b', methods=['GET'], workspaces=['a', 'e']),
+        _route('/b', methods=['PUT', 'GET'], workspaces=['b']),
+        _route('/c', service='s1'),
+    ],
+}
+_subsets = st.fixed_dictionaries(
+    {
+        section: st.lists(st.sampled_from(entries), unique_by=id, max_size=3)
+        for section, entries in _entries.items()
+    }
+)
+
+
+@settings(max_examples=400, deadline=None)
+@given(_subsets, st.integers(0, 7))
+def test_added_entries_are_checked_as_the_whole_document_is(chosen, kept_mask):
+    """Guards against a change that is valid by itself but not in place."""
+    whole = completed('bundle', document(**chosen))
+    kept = {
+        section: whole[section][: 1 + (kept_mask >> bit & 1)]
+        for bit, section in enumerate(_entries)
+    }
+    assume(not any(reference_faults({**whole, **kept})))
+    added = {
+        section: whole[section][len(kept[section]) :] for section in _entries
+    }
+    assert additions_hold(kept, added) != any(reference_faults(whole))
+
+
 def test_bundle_that_another_builder_has_cut_is_assembled():
     """Guards against refusing valid bundles with other chunk borders."""
     content = canonical(document())
@@ -300,4 +342,4 @@
     altered = {**chunks, digest: chunks[digest].replace(b'1', b'2', 1)}
     assert digest in join(manifest, altered).unwrap_err()
     del altered[digest]
-    assert re.search(f'{digest}.*missing', join(manifest, altered).unwrap_err())
+    assert f'{digest} is missing' in join(manifest, altered).unwrap_err()
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -243,7 +243,8 @@
     changed = bundle(document(7, 7, 3000))
     fetched = store.offer_manifest(changed.manifest).missing
     assert len(fetched) == 1
-    assert 0 < len(_offer_chunk(store, changed, fetched[0]).missing) <= 2
+    index = changed.content_by_digest[fetched[0]]
+    assert 0 < len(store.offer_chunk(fetched[0], index).missing) <= 2
     assert deliver(store, changed).status == 'accepted'
     top = changed.manifest['chunks'][0]['digest']
     for lines, fault in (
@@ -260,10 +261,6 @@
     assert store.accepted.version == 7
 
 
-def _offer_chunk(store, build, digest):
-    return store.offer_chunk(digest, build.content_by_digest[digest])
-
-
 def test_kept_state_is_bounded_and_never_raises_a_share():
     """Guards against unsettled versions or conflicts filling the memory."""
     store = BundleStore([KEYS.public])
