--- a/features/steps/process_steps.py
+++ b/features/steps/process_steps.py
@@ -70,6 +70,7 @@
     around = Surroundings(processes, session)
     context.fleet = Fleet(plan, around, Path(folder))
     await context.fleet.start()
+    context.first_manifest = context.fleet.manifest
     entries = [context.fleet.caller_url(name) for name in plan.zone_by_host]
     load_plan = LoadPlan(chart_bytes=_CHART_BYTES, chart_spread_ms=50)
     context.load = await enter(Load(plan.workspaces, entries, load_plan))
--- a/oleanderridge/runtime/admin_api.py
+++ b/oleanderridge/runtime/admin_api.py
@@ -7,7 +7,7 @@
 from hashlib import sha256
 from typing import Any, Final
 
-from falcon import HTTPUnauthorized
+from falcon import HTTPError, HTTPUnauthorized
 from falcon.asgi import App, Request, Response
 
 from oleanderridge.runtime.node import Node
@@ -40,6 +40,7 @@
         settings name in ``admin.token_hashes``.
     """
     app = App(middleware=[_TokenCheck(node)])
+    app.set_error_serializer(_write_problem)
     app.add_route('/live', _Reader(lambda _req: {'live': True}))
     app.add_route('/ready', _Readiness(node))
     app.add_route('/v1/status', _Reader(lambda _req: host_status(node)))
@@ -142,11 +143,30 @@
             max_value=_ROWS_MAX,
             default=_ROWS_DEFAULT,
         )
-        return {'workspaces': node.buckets.snapshot(limit)}
+        refusals = [
+            {'workspace': workspace, 'reason': reason, 'count': count}
+            for (workspace, reason), count in (
+                node.refusals_by_workspace.most_common(limit)
+            )
+        ]
+        return {
+            'workspaces': node.buckets.snapshot(limit),
+            'refusals': refusals,
+        }
 
     return shares
 
 
+def _write_problem(_req: Request, resp: Response, error: HTTPError) -> None:
+    resp.content_type = 'application/problem+json'
+    resp.media = {
+        'type': 'about:blank',
+        'title': error.title,
+        'status': error.status_code,
+        'detail': error.description,
+    }
+
+
 class _Reader:
     """Serves what a function returns as JSON."""
 
--- a/oleanderridge/runtime/bundles.py
+++ b/oleanderridge/runtime/bundles.py
@@ -94,7 +94,7 @@
     async def _read_first(self, key: str, take: Callable) -> None:
         outcome = await self._reader.read(key)
         if isinstance(outcome, Err):
-            self._node.note('platform-read-failed', error=outcome.err_value)
+            self._node.warn('platform-read-failed', error=outcome.err_value)
             return
         self._revision_by_key[key] = outcome.ok_value.revision
         await take(outcome.ok_value.content)
@@ -105,7 +105,7 @@
         outcome = await self._reader.watch(key, after)
         if isinstance(outcome, Err):
             node.watching = False
-            node.note('platform-watch-failed', error=outcome.err_value)
+            node.warn('platform-watch-failed', error=outcome.err_value)
             await asyncio.sleep(
                 node.settings['platform']['retry_s']
                 * node.rng.uniform(0.5, 1.5),
@@ -133,7 +133,7 @@
         try:
             manifest = decode_json(content, type=Manifest)
         except DecodeError as error:
-            self._node.note('manifest-malformed', error=error)
+            self._node.warn('manifest-malformed', error=error)
             return
         offer = self._offer_manifest(manifest, _PLATFORM)
         if offer.status == _WANTED and self._node.store.accepted is None:
@@ -152,7 +152,7 @@
     async def _read_chunk(self, digest: str) -> Result[PlatformValue, str]:
         chunk = await self._reader.read(f'bundle/chunk/{digest}')
         if isinstance(chunk, Err):
-            self._node.note('chunk-unavailable', error=chunk.err_value)
+            self._node.warn('chunk-unavailable', error=chunk.err_value)
         return chunk
 
     async def _wait_for_peers(self) -> None:
@@ -233,7 +233,7 @@
         if offer.status == 'accepted':
             self._put_in_force(source)
         elif offer.status in {'invalid', 'conflict'}:
-            self._node.note(
+            self._node.warn(
                 'bundle-refused',
                 source=source,
                 status=offer.status,
--- a/oleanderridge/runtime/node.py
+++ b/oleanderridge/runtime/node.py
@@ -5,8 +5,10 @@
 import asyncio
 import logging
 import time
+from collections import Counter
 from collections.abc import Callable, Iterable
 from random import Random
+from typing import Any
 
 from oleanderridge.admission.buckets import TokenBuckets
 from oleanderridge.admission.keys import AdmissionIndex
@@ -64,6 +66,8 @@
         self.bundle_accepted_at = now
         self.watching = False
         self.leaving = False
+        # Only names of the bundle are counted, so its size bounds this one.
+        self.refusals_by_workspace: Counter[tuple[str, str]] = Counter()
         self.loop_lag_s: float = 0
         self._address_by_host: dict[str, str] = {}
 
@@ -159,16 +163,26 @@
             _LOGGER.exception('peer-message-failed')
             self.metrics.peer_drops.inc({'cause': 'handler-failed'})
 
-    def note(self, event: str, level: int = logging.INFO, **fields) -> None:
+    def note(self, event: str, **fields: Any) -> None:
         """Log one event of the host.
 
         Parameters
         ----------
         event : str
             Event name in lower case with hyphens.
-        level : int
-            A level of the ``logging`` module.
         **fields
             Values by name.
         """
-        log_event(_LOGGER, event, level, **fields)
+        log_event(_LOGGER, event, **fields)
+
+    def warn(self, event: str, **fields: Any) -> None:
+        """Log one event that an operator may need to act on.
+
+        Parameters
+        ----------
+        event : str
+            Event name in lower case with hyphens.
+        **fields
+            Values by name.
+        """
+        log_event(_LOGGER, event, logging.WARNING, **fields)
--- a/oleanderridge/runtime/peering.py
+++ b/oleanderridge/runtime/peering.py
@@ -98,7 +98,7 @@
         try:
             host_list = decode_json(content, type=HostList)
         except DecodeError as error:
-            self._node.note('host-list-malformed', error=error)
+            self._node.warn('host-list-malformed', error=error)
             return False
         return self.accept_list(host_list)
 
--- a/oleanderridge/runtime/permits.py
+++ b/oleanderridge/runtime/permits.py
@@ -104,6 +104,9 @@
             )
         waited = node.clock() - started
         node.metrics.queue_seconds.observe({'service': service}, waited)
+        if isinstance(outcome, Err):
+            reason = outcome.err_value.reason
+            node.refusals_by_workspace[workspace, reason] += 1
         return outcome
 
     def release(self, permit: Permit, outcome: str, latency_ms: float) -> None:
--- a/oleanderridge/runtime/tokens.py
+++ b/oleanderridge/runtime/tokens.py
@@ -15,6 +15,8 @@
 
 _MS_PER_S = 1000
 _REMEMBERED_MAX = 4096
+# A lease comes back with the next heartbeats.
+_NO_LEASE_RETRY_S = 1
 
 
 class TokenClient:
@@ -88,11 +90,18 @@
             if token is not None:
                 return Ok(token)
         if waits:
-            node.metrics.tokens.inc({'result': 'rate-exceeded'})
-            return Err(refuse('rate-exceeded', workspace, min(waits)))
-        node.metrics.tokens.inc({'result': 'no-lease'})
-        detail = f'no minter of workspace {workspace} can be reached'
-        return Err(refuse('no-lease', detail, 1))
+            return self._refuse(workspace, 'rate-exceeded', min(waits))
+        return self._refuse(workspace, 'no-lease', _NO_LEASE_RETRY_S)
+
+    def _refuse(
+        self,
+        workspace: str,
+        reason: str,
+        retry_after_s: float,
+    ) -> Err[Refusal]:
+        self._node.metrics.tokens.inc({'result': reason})
+        self._node.refusals_by_workspace[workspace, reason] += 1
+        return Err(refuse(reason, f'workspace {workspace}', retry_after_s))
 
     def refund(self, token: Token) -> None:
         """Give back the token of a request that did not run.
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -1,8 +1,10 @@
 """Peer messages survive the wire, and malformed ones name their place."""
 
+from hypothesis import given, settings
+from hypothesis import strategies as st
 from msgspec import msgpack
 
-from oleanderridge.wire import decode, encode
+from oleanderridge.wire import TYPE_BY_KIND, decode, encode
 
 _REQUEST = {
     'kind': 'token_request',
@@ -42,3 +44,27 @@
     payloads = (b'', b'\xc1', *map(msgpack.encode, arrays))
     for payload in payloads:
         assert decode(payload).is_err()
+
+
+_PARTS = st.recursive(
+    st.none() | st.booleans() | st.integers(-9, 9) | st.floats() | st.text(),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(st.text(max_size=3), inner, max_size=3)
+    ),
+    max_leaves=6,
+)
+
+
+@settings(max_examples=300, derandomize=True, deadline=None)
+@given(
+    st.sampled_from(sorted(TYPE_BY_KIND)),
+    st.lists(_PARTS, max_size=18),
+    st.binary(max_size=4),
+)
+def test_hostile_payloads_never_raise(kind, parts, tail):
+    """Guards against a peer that can end the receiving loop."""
+    payload = msgpack.encode([kind, *parts])
+    for variant in (payload, payload + tail, payload[: len(tail)], tail):
+        outcome = decode(variant)
+        assert outcome.is_err() or outcome.unwrap()['kind'] == kind
