Refuse to wait for a chunk that a build does not have

bundle verify asked for the same damaged chunk for ever when a store refused it. Tests cover repeated chunks and signing of an altered build.

--- a/features/bundle.feature
+++ b/features/bundle.feature
@@ -26,6 +26,8 @@
     And I run "bundle verify build-7 --trusted PUBLIC"
     Then the exit status is 1
     And standard error mentions "other content"
+    When I run "bundle sign build-7 --secret operator.key"
+    Then the exit status is 1
 
   Scenario: All findings of a source come with their lines
     Given "bundle.yaml" has a route to service "absent" and a negative rate
--- a/oleanderridge/commands/bundle.py
+++ b/oleanderridge/commands/bundle.py
@@ -274,7 +274,7 @@
     # The same code as on a host decides.
     store = BundleStore(trusted)
     offer = store.offer_manifest(build.manifest)
-    while offer.missing:
+    while offer.status == 'wanted':
         digest = offer.missing[0]
         offer = store.offer_chunk(digest, build.content_by_digest[digest])
     if store.accepted is None:
--- a/tests/bundle_samples.py
+++ b/tests/bundle_samples.py
@@ -40,7 +40,7 @@
 def deliver(store, build):
     """Offer a bundle and all chunks that the store asks for."""
     offer = store.offer_manifest(build.manifest)
-    while offer.missing:
+    while offer.status == 'wanted':
         for digest in offer.missing:
             offer = store.offer_chunk(digest, build.content_by_digest[digest])
     return offer
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -211,6 +211,18 @@
     assert store.accepted is None
 
 
+def test_repeated_chunk_is_refused():
+    """Guards against taking a workspace twice since both were known."""
+    store = BundleStore([KEYS.public])
+    deliver(store, _VALID[4])
+    build = bundle(document(5, 6, 900))
+    first, entries, *rest = build.manifest['chunks']
+    manifest = _sign_as(5, [first, entries, entries, *rest])
+    offer = deliver(store, build._replace(manifest=manifest))
+    assert offer.status == 'invalid'
+    assert 'is also' in offer.message
+
+
 def test_malformed_manifests_are_refused_before_any_fetch():
     """Guards against oversized or mistyped manifests from a peer."""
     store = BundleStore([KEYS.public])
