--- a/bench/experiments.py
+++ b/bench/experiments.py
@@ -5,12 +5,20 @@
 import sys
 from argparse import ArgumentParser, Namespace
 from collections import Counter
+from pathlib import Path
 from statistics import mean, median
 from typing import Final
 
 from bench.model.rig import POLICY, Rig, RigSpec
 from bench.model.targets import Fault
-from bench.model.trace import Outcome, record, replay_all, scenarios
+from bench.model.trace import (
+    Outcome,
+    Scenario,
+    record,
+    replay_all,
+    scenarios,
+    write_trace,
+)
 from bench.model.workload import Workspace
 from oleanderridge.generated.bundle import HealthPolicy
 
@@ -25,10 +33,27 @@
     'small-5': 0.08,
 }
 # Number of targets and thresholds; see docs/measurements.md for the reasons.
+_FEW_FALSE: Final = HealthPolicy(**{**POLICY, 'latency_factor': 4})
+_WORST_SERVED: Final = HealthPolicy(**{**POLICY, 'consecutive_failures': 2})
 SETTINGS: Final[dict[str, tuple[int, HealthPolicy]]] = {
-    'pattern-store': (6, POLICY),
-    'sett-lookup': (25, POLICY),
+    'pattern-store': (6, _FEW_FALSE),
+    'sett-lookup': (25, _WORST_SERVED),
 }
+TRACED: Final = (
+    'limping',
+    'short',
+    'timeout',
+    'reset',
+    'flapping',
+    'one-zone',
+    'one-host',
+    'all-slow',
+    'misleading',
+    'none-heavy',
+)
+# Recorded traces are kept small: lower load and shorter than the experiment.
+_TRACE_LOAD: Final = 0.4
+_TRACE_S_BY_NAME: Final = {'flapping': 45, 'misleading': 45, 'one-host': 20}
 _OVER_RATE: Final = 'small-5'
 _MULTIPLE: Final = 4
 
@@ -58,10 +83,18 @@
         targets=options.targets,
         duration_s=options.duration,
         admission=options.admission,
+        weighted=options.weighted,
+        queue_limit=options.queue_limit,
+        policy=_changed(SETTINGS['sett-lookup'][1], options),
         groups=options.groups if variant == 'broker' else 1,
     )
 
 
+def _changed(policy: HealthPolicy, options: Namespace) -> HealthPolicy:
+    changed = {name: float(value) for name, value in options.policy}
+    return HealthPolicy(**{**policy, **changed})
+
+
 def _row(rigs: list[Rig]) -> dict[str, float]:
     by_seed = []
     for rig in rigs:
@@ -128,9 +161,8 @@
 def run_detection(options: Namespace) -> None:
     """Replay recorded faults against the policy of a setting."""
     seeds = range(options.seed, options.seed + options.seeds)
-    changed = {name: float(value) for name, value in options.policy}
     for setting, (targets, own) in SETTINGS.items():
-        policy = HealthPolicy(**{**own, **changed})
+        policy = _changed(own, options)
         for name in options.faults or scenarios():
             scenario = scenarios()[name]
             if options.duration:
@@ -143,6 +175,22 @@
             )
 
 
+def run_record(options: Namespace) -> None:
+    """Write the traces that ``features/ejection.feature`` replays."""
+    options.directory.mkdir(exist_ok=True)
+    for name in TRACED:
+        trace = record(name, 6, options.seed, _traced(name))
+        write_trace(trace, options.directory / f'{name}.jsonl')
+
+
+def _traced(name: str) -> Scenario:
+    scenario = scenarios()[name]
+    return scenario._replace(
+        load=min(scenario.load, _TRACE_LOAD),
+        duration_s=min(scenario.duration_s, _TRACE_S_BY_NAME.get(name, 6)),
+    )
+
+
 def _outcomes(outcomes: list[Outcome]) -> str:
     found = sorted(
         outcome.detection_s
@@ -160,6 +208,16 @@
     )
 
 
+def _add_policy(command: ArgumentParser) -> None:
+    command.add_argument(
+        '--policy',
+        nargs='*',
+        default=[],
+        type=lambda text: text.split('='),
+        help='thresholds that replace those of the setting: name=value',
+    )
+
+
 def parser() -> ArgumentParser:
     """Return the command line of the experiments."""
     root = ArgumentParser(prog='python -m bench.experiments')
@@ -172,6 +230,8 @@
     dispatch.add_argument('--groups', type=int, default=1)
     dispatch.add_argument('--duration', type=float, default=20)
     dispatch.add_argument('--admission', action='store_true')
+    dispatch.add_argument('--queue-limit', type=int, default=64)
+    dispatch.add_argument('--weighted', action='store_true')
     dispatch.add_argument('--by-workspace', action='store_true')
     dispatch.add_argument(
         '--loads', type=float, nargs='+', default=[0.6, 0.8, 0.95]
@@ -180,19 +240,20 @@
         '--variants', nargs='+', default=['independent', 'broker']
     )
     dispatch.set_defaults(run=run_dispatch)
+    _add_policy(dispatch)
     detection = commands.add_parser('detection')
     detection.add_argument('--seed', type=int, default=1)
     detection.add_argument('--seeds', type=int, default=10)
     detection.add_argument('--faults', nargs='*')
-    detection.add_argument(
-        '--policy',
-        nargs='*',
-        default=[],
-        type=lambda text: text.split('='),
-        help='thresholds that replace those of the setting: name=value',
-    )
+    _add_policy(detection)
     detection.add_argument('--duration', type=float)
     detection.set_defaults(run=run_detection)
+    recording = commands.add_parser('record')
+    recording.add_argument('--seed', type=int, default=7)
+    recording.add_argument(
+        '--directory', type=Path, default=Path('features/traces')
+    )
+    recording.set_defaults(run=run_record)
     return root
 
 
--- a/bench/model/trace.py
+++ b/bench/model/trace.py
@@ -132,32 +132,33 @@
     return Trace(name, seed, targets, scenario, tuple(rounded))
 
 
-def write(trace: Trace, path: Path) -> None:
+def write_trace(trace: Trace, path: Path) -> None:
     """Write a trace as JSON lines."""
-    fault = trace.scenario.fault
     header = {
         'name': trace.name,
         'seed': trace.seed,
         'targets': trace.targets,
         'load': trace.scenario.load,
         'duration_s': trace.scenario.duration_s,
-        'fault': fault.kind,
     }
     lines = [json.dumps(header)]
     lines.extend(json.dumps(row, separators=(',', ':')) for row in trace.rows)
     path.write_text('\n'.join((*lines, '')), encoding='utf-8')
 
 
-def read(path: Path) -> Trace:
+def read_trace(path: Path) -> Trace:
     """Read a trace; the fault is looked up by the name in the header."""
     lines = path.read_text(encoding='utf-8').splitlines()
     header = json.loads(lines[0])
+    scenario = scenarios()[header['name']]._replace(
+        load=header['load'], duration_s=header['duration_s']
+    )
     rows = tuple(tuple(json.loads(line)) for line in lines[1:])
     return Trace(
         name=header['name'],
         seed=header['seed'],
         targets=header['targets'],
-        scenario=scenarios()[header['name']],
+        scenario=scenario,
         rows=rows,
     )
 
--- a/oleanderridge/dispatch/broker.py
+++ b/oleanderridge/dispatch/broker.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Collection, Iterable
+from collections.abc import Collection, Iterable, Mapping
 from random import Random
-from typing import Any, NamedTuple, Protocol
+from typing import Any, Final, NamedTuple, Protocol
 
 from xxhash import xxh64_intdigest
 
@@ -21,6 +21,10 @@
 from oleanderridge.health.service import Candidate, Flight, ServiceHealth
 from oleanderridge.wire import Outgoing
 
+# A request starts only with this many mean service times left; with one, an
+# exponential service time misses the deadline after a third of the starts.
+_SERVICE_TIMES_LEFT: Final = 3
+
 Identity = tuple[str, str]
 
 
@@ -60,7 +64,7 @@
     ]
     return max(
         hosts,
-        key=lambda host: (xxh64_intdigest(f'{service}\0{host}'), host),
+        key=lambda host: (xxh64_intdigest(f'{service}\0{host}'.encode()), host),
         default=None,
     )
 
@@ -117,9 +121,21 @@
         services: Iterable[Service],
         leaving: Collection[str],
         now: float,
+        weight_by_workspace: Mapping[str, float] | None = None,
     ) -> list[Outgoing]:
         """Take over the services and the names of leaving targets.
 
+        Parameters
+        ----------
+        services : iterable of Service
+            All services, optional fields present.
+        leaving : collection of str
+            Targets that receive no new work.
+        now : float
+            Monotonic seconds.
+        weight_by_workspace : mapping of str to float or None
+            Weights in the fair queue; without it all are equal.
+
         Returns
         -------
         list of Outgoing
@@ -136,6 +152,7 @@
             else:
                 state.service = service
                 state.health.update(service, now)
+            state.queue.set_weights(weight_by_workspace or {})
             self._state_by_service[name] = state
         refusals = [
             _refusal(waiting.host, waiting.request_id, 'no-target')
@@ -258,7 +275,8 @@
         if slots > sum(state.in_flight.values()):
             position = 0
         mean = state.service_time.mean
-        if position * mean / slots + mean > message['deadline_ms']:
+        needed_ms = position * mean / slots + mean * _SERVICE_TIMES_LEFT
+        if needed_ms > message['deadline_ms']:
             return 'deadline'
         return None
 
@@ -363,7 +381,8 @@
 
 
 def _too_late(state: _ServiceState, waiting: Waiting, now: float) -> bool:
-    return now + state.service_time.mean / 1000 > waiting.deadline
+    needed_s = _SERVICE_TIMES_LEFT * state.service_time.mean / 1000
+    return now + needed_s > waiting.deadline
 
 
 def _give_up(state: _ServiceState, waiting: Waiting) -> Outgoing:
--- a/oleanderridge/dispatch/fair_queue.py
+++ b/oleanderridge/dispatch/fair_queue.py
@@ -1,8 +1,9 @@
-"""Start-time fair queuing over workspaces with equal weights."""
+"""Start-time fair queuing over workspaces."""
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
+from math import ceil
 from typing import NamedTuple
 
 
@@ -21,17 +22,23 @@
 class FairQueue:
     """Requests of one service, ordered fairly across workspaces.
 
-    A workspace's start tag advances by one for each request that leaves the
-    queue for a slot. A workspace that was idle starts at the current virtual
-    time, so it neither saves up credit nor waits behind another's backlog.
+    A workspace's start tag advances by the inverse of its weight for each
+    request that leaves the queue for a slot. A workspace that was idle starts
+    at the current virtual time, so it neither saves up credit nor waits
+    behind another's backlog.
     """
 
     def __init__(self) -> None:
         self._virtual_time: float = 0
+        self._weight_by_workspace: Mapping[str, float] = {}
         self._tag_by_workspace: dict[str, float] = {}
         self._waiting: dict[str, dict[tuple[str, str], Waiting]] = {}
         self._by_id: dict[tuple[str, str], Waiting] = {}
 
+    def set_weights(self, weight_by_workspace: Mapping[str, float]) -> None:
+        """Set the weights; a workspace that is not named has weight 1."""
+        self._weight_by_workspace = weight_by_workspace
+
     def __len__(self) -> int:
         return len(self._by_id)
 
@@ -68,7 +75,8 @@
         """Take out a request that receives a slot and charge it."""
         tag = self._tag_by_workspace[waiting.workspace]
         self._virtual_time = max(self._virtual_time, tag)
-        self._tag_by_workspace[waiting.workspace] = tag + 1
+        step = 1 / self._weight(waiting.workspace)
+        self._tag_by_workspace[waiting.workspace] = tag + step
         self.remove((waiting.host, waiting.request_id))
         if not self._by_id:
             self._forget_idle()
@@ -82,8 +90,9 @@
     def ahead(self, workspace: str) -> int:
         """Return how many requests would be served before a new one."""
         own = self.length(workspace)
+        rounds = (own + 1) / self._weight(workspace)
         others = sum(
-            min(len(queue), own + 1)
+            min(len(queue), ceil(rounds * self._weight(name)))
             for name, queue in self._waiting.items()
             if name != workspace
         )
@@ -96,6 +105,9 @@
         self._waiting.clear()
         return drained
 
+    def _weight(self, workspace: str) -> float:
+        return self._weight_by_workspace.get(workspace, 1)
+
     def _forget_idle(self) -> None:
         current = self._virtual_time
         self._tag_by_workspace = {
--- a/oleanderridge/health/evidence.py
+++ b/oleanderridge/health/evidence.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Mapping
 from math import ceil, log
 from typing import Final
@@ -85,17 +86,24 @@
 
     def __init__(self) -> None:
         self.length = 0
-        self.zone_by_host: dict[str, str] = {}
+        self.hosts: set[str] = set()
+        self._length_by_zone: Counter[str] = Counter()
 
     def add(self, host: str, zone: str) -> None:
         """Count one failure."""
         self.length += 1
-        self.zone_by_host[host] = zone
+        self.hosts.add(host)
+        self._length_by_zone[zone] += 1
 
     def clear(self) -> None:
         """Forget the run after a success."""
         self.length = 0
-        self.zone_by_host.clear()
+        self.hosts.clear()
+        self._length_by_zone.clear()
+
+    def outside_strongest(self) -> int:
+        """Return the failures seen outside the zone that saw most."""
+        return self.length - max(self._length_by_zone.values(), default=0)
 
 
 class ZoneScores:
--- a/oleanderridge/health/service.py
+++ b/oleanderridge/health/service.py
@@ -34,6 +34,12 @@
 _CACHE_S: Final = 0.02
 # Hosts and paths without a report for this time no longer count.
 _FORGET_S: Final = 60
+# A timeout counts as a failure when its age is e^2 times likelier at a slow
+# target; at a shorter age the caller's deadline was too close.
+_TIMEOUT_SCORE: Final = 2
+# Failures of a run that other zones than the strongest must have seen. With
+# one, a stray failure elsewhere turned a zone's lost path into an ejection.
+_OUTSIDE: Final = 2
 # Part of the threshold that the zones besides the strongest must reach.
 _SECOND_ZONE: Final = 0.25
 
@@ -173,6 +179,8 @@
             if outcome == 'timeout':
                 evidence = self._profile.in_flight_score(latency_ms)
                 record.slowness.add(host, zone, evidence)
+                if self._ran_out(latency_ms):
+                    return
             self._observe_failure(record, host, zone, now)
         else:
             self._observe_answer(record, (host, zone), latency_ms, now)
@@ -344,6 +352,14 @@
             if evidence > 0:
                 self._judge_slowness(record, now)
 
+    def _ran_out(self, latency_ms: float) -> bool:
+        """Return whether a timeout says more about the caller's deadline.
+
+        A request that starts late in its life can run out of time at a
+        healthy target; its age then is a usual one.
+        """
+        return self._profile.in_flight_score(latency_ms) < _TIMEOUT_SCORE
+
     def _usual_failures(self, record: TargetRecord) -> float:
         shares = [
             other.failure_share.mean
@@ -369,15 +385,17 @@
         by_host, by_zone = paths
         if by_host.run.length >= limit:
             self._avoid(by_host, now)
-        several = len(by_zone.run.zone_by_host) > 1
+        several = len(by_zone.run.hosts) > 1
         if several and by_zone.run.length >= limit:
             self._avoid(by_zone, now)
 
     def _seen_widely(self, record: TargetRecord) -> bool:
-        seen = record.run.zone_by_host
-        hosts = min(2, len(self._observer_by_host))
-        zones = min(2, len(self._zones))
-        return len(seen) >= hosts and len(set(seen.values())) >= zones
+        run = record.run
+        if len(run.hosts) < min(2, len(self._observer_by_host)):
+            return False
+        failures = self._policy['consecutive_failures']
+        outside = max(1, min(_OUTSIDE, failures - 1))
+        return len(self._zones) < 2 or run.outside_strongest() >= outside
 
     def _judge_slowness(self, record: TargetRecord, now: float) -> None:
         threshold = latency_threshold(self._policy)
--- /dev/null
+++ b/tests/test_independent.py
@@ -0,0 +1,32 @@
+"""Dispatch without a broker."""
+
+from random import Random
+
+import pytest
+
+from oleanderridge.dispatch.independent import IndependentDispatch
+
+
+@pytest.fixture
+def dispatch(settings, make_service):
+    dispatch = IndependentDispatch(settings, Random(1))
+    dispatch.configure([make_service(6)], ('t3',), 0)
+    return dispatch
+
+
+def test_one_request_per_target_and_none_for_excluded_or_leaving(dispatch):
+    """Guards against fallbacks of many hosts that flood two slots."""
+    tried = ('t2', 't4', 't5')
+    picked = {dispatch.pick('sett-lookup', tried, 0) for _ in range(3)}
+    assert picked == {'t0', 't1', None}
+    dispatch.done('sett-lookup', 't0', 'ok', 50, 1)
+    assert dispatch.pick('sett-lookup', tried, 1) == 't0'
+
+
+def test_own_evidence_suffices(dispatch):
+    """Guards against a lone host that waits for others to agree."""
+    others = ('t0', 't2', 't4', 't5')
+    for _ in range(3):
+        assert dispatch.pick('sett-lookup', others, 0) == 't1'
+        dispatch.done('sett-lookup', 't1', 'reset', 2, 0)
+    assert dispatch.pick('sett-lookup', others, 0) is None
--- /dev/null
+++ b/tests/test_service_health.py
@@ -0,0 +1,170 @@
+"""Ejection, floor, slow start, draining and restoration of targets."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from oleanderridge.health.service import Flight, ServiceHealth
+from tests.conftest import POLICY
+
+ZONES = {'h0': 'a', 'h1': 'b', 'h2': 'c', 'h3': 'a'}
+
+
+def _service(targets, **policy):
+    return {
+        'name': 'sett-lookup',
+        'targets': [
+            {'name': f't{index}', 'url': '', 'slots': 2, 'zone': 'a'}
+            for index in range(targets)
+        ],
+        'timeout_ms': 10000,
+        'health_path': '/health',
+        'health': {**POLICY, **policy},
+    }
+
+
+def _answers(health, targets, rounds, start=0.0, latency_ms=50.0):
+    """Let every host see good answers of every target."""
+    for number in range(rounds):
+        for host, zone in ZONES.items():
+            for target in targets:
+                spread = latency_ms * (0.6 + 0.2 * (number % 5))
+                now = start + number / 10
+                health.report(host, zone, target, 'ok', spread, now)
+
+
+def _fail(health, target, hosts, now, outcome='reset'):
+    for host in hosts:
+        health.report(host, ZONES[host], target, outcome, 2, now)
+
+
+def _names(health, now, host='h0', leaving=(), excluded=()):
+    found = health.candidates(host, now, leaving, excluded)
+    return {candidate.target for candidate in found}
+
+
+@pytest.fixture
+def health():
+    health = ServiceHealth(_service(6))
+    _answers(health, [f't{index}' for index in range(6)], 20)
+    return health
+
+
+_REPORTS = st.lists(
+    st.tuples(
+        st.sampled_from(sorted(ZONES)),
+        st.integers(0, 5),
+        st.sampled_from(
+            ['ok', 'ok', 'reset', 'timeout', 'short', 'shed', 'draining']
+        ),
+        st.sampled_from([20.0, 60.0, 900.0, 9000.0]),
+        st.sampled_from([0.001, 0.01, 0.5, 6.0]),
+        st.booleans(),
+    ),
+    max_size=120,
+)
+
+
+@given(_REPORTS, st.sampled_from([0.3, 0.6, 1.0]))
+def test_the_floor_holds_at_every_pick(reports, floor):
+    """Guards against ejections that take away more than the floor allows."""
+    health = ServiceHealth(_service(6, floor=floor, consecutive_failures=2))
+    now = 0.0
+    for host, index, outcome, latency_ms, pause, probe in reports:
+        now += pause
+        health.report(host, ZONES[host], f't{index}', outcome, latency_ms, now)
+        health.review([Flight(host, ZONES[host], 't0', now - 3)], now)
+        for name in health.probes_due(now):
+            health.probe_result(name, probe, now)
+        for observer in ZONES:
+            found = health.candidates(observer, now, ('t5',), ())
+            states = {item['target']: item for item in health.snapshot(now)}
+            attainable = sum(
+                2 * (item['weight'] if item['state'] == 'healthy' else 1)
+                for name, item in states.items()
+                if item['state'] != 'draining' and name != 't5'
+            )
+            picked = sum(
+                2 * (1 if item.forced else item.weight) for item in found
+            )
+            assert picked >= min(floor * 12, attainable) - 1e-6
+            assert not any(
+                states[item.target]['state'] == 'draining' for item in found
+            )
+            assert 't5' not in {item.target for item in found}
+
+
+def test_agreeing_zones_eject_and_one_zone_or_host_only_avoids(health):
+    """Guards against one zone's lost paths taking a target from all."""
+    _fail(health, 't1', ('h1',) * 3, 3)
+    assert 't1' not in _names(health, 3, 'h1')
+    assert 't1' in _names(health, 3, 'h2')
+    _fail(health, 't2', ('h0', 'h3', 'h0'), 3)
+    assert 't2' not in _names(health, 3, 'h3')
+    assert 't2' in _names(health, 3, 'h1')
+    _fail(health, 't3', ('h0', 'h1', 'h2'), 3)
+    assert all('t3' not in _names(health, 3, host) for host in ZONES)
+
+
+def test_a_target_that_never_answers_shows_before_its_timeout(health):
+    """Guards against waiting for timeouts while both slots hang."""
+    flights = [Flight('h0', 'a', 't1', 3), Flight('h1', 'b', 't1', 3)]
+    health.review(flights, 3.1)
+    assert 't1' in _names(health, 3.1)
+    health.review(flights, 6)
+    assert 't1' not in _names(health, 6)
+
+
+def test_a_slow_target_is_ejected_and_common_slowness_is_not(health):
+    """Guards against gray slowness, and against blame for shared slowness."""
+    everyone = [f't{index}' for index in range(6)]
+    _answers(health, everyone, 5, 3, 400)
+    assert _names(health, 4) == set(everyone)
+    slow = ServiceHealth(_service(6))
+    _answers(slow, everyone, 20)
+    _answers(slow, ['t1'], 5, 3, 400)
+    assert _names(slow, 4) == set(everyone) - {'t1'}
+
+
+def test_repeated_ejections_double_and_a_good_probe_starts_slowly(health):
+    """Guards against flapping targets that return at full weight each time."""
+    now = 3.0
+    for expected_s in (10, 20, 40):
+        _fail(health, 't1', ('h0', 'h1', 'h2') * 2, now)
+        state = health.snapshot(now)[1]
+        assert state['until_s'] == pytest.approx(expected_s)
+        now += expected_s
+        assert health.probes_due(now - 1) == ()
+        assert health.probes_due(now) == ('t1',)
+        health.probe_result('t1', True, now)
+        found = {
+            item.target: item for item in health.candidates('h0', now, (), ())
+        }
+        assert found['t1'].weight < 0.2
+        assert found['t1'].slots == 1
+        now += 5
+
+
+def test_probes_that_always_fail_do_not_keep_a_target_out(health):
+    """Guards against a health endpoint that calls a good target bad."""
+    _fail(health, 't1', ('h0', 'h1', 'h2'), 3)
+    now = 3.0
+    for _ in range(3):
+        now += 10
+        assert health.probes_due(now) == ('t1',)
+        health.probe_result('t1', False, now)
+    assert 't1' in _names(health, now)
+
+
+def test_draining_stops_new_work_at_once(health):
+    """Guards against work for a leaving target, even below the floor."""
+    for index in range(5):
+        health.report('h0', 'a', f't{index}', 'draining', 50, 3)
+    assert _names(health, 3) == {'t5'}
+    assert _names(health, 3, leaving=('t5',)) == set()
+
+
+def test_a_deadline_that_was_too_close_is_no_failure(health):
+    """Guards against ejection because callers had little time left."""
+    _fail(health, 't1', ('h0', 'h1', 'h2') * 3, 3, 'timeout')
+    assert 't1' in _names(health, 3)
