--- a/oleanderridge/dispatch/broker.py
+++ b/oleanderridge/dispatch/broker.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Collection, Iterable
+from collections.abc import Collection, Iterable, Mapping
 from random import Random
-from typing import Any, NamedTuple, Protocol
+from typing import Any, Final, NamedTuple, Protocol
 
 from oleanderridge.dispatch.fair_queue import FairQueue, Waiting
 from oleanderridge.generated.bundle import Service
@@ -20,6 +20,10 @@
 from oleanderridge.rendezvous import rendezvous_score
 from oleanderridge.wire import Outgoing
 
+# A request starts only with this many mean service times left; with one, an
+# exponential service time misses the deadline after a third of the starts.
+_SERVICE_TIMES_LEFT: Final = 3
+
 Identity = tuple[str, str]
 
 
@@ -116,9 +120,21 @@
         services: Iterable[Service],
         leaving: Collection[str],
         now: float,
+        weight_by_workspace: Mapping[str, float] | None = None,
     ) -> list[Outgoing]:
         """Take over the services and the names of leaving targets.
 
+        Parameters
+        ----------
+        services : iterable of Service
+            All services, optional fields present.
+        leaving : collection of str
+            Targets that receive no new work.
+        now : float
+            Monotonic seconds.
+        weight_by_workspace : mapping of str to float or None
+            Weights in the fair queue; without it all are equal.
+
         Returns
         -------
         list of Outgoing
@@ -135,6 +151,7 @@
             else:
                 state.service = service
                 state.health.update(service, now)
+            state.queue.set_weights(weight_by_workspace or {})
             self._state_by_service[name] = state
         refusals = [
             _refusal(waiting.host, waiting.request_id, 'no-target')
@@ -257,7 +274,8 @@
         if slots > sum(state.in_flight.values()):
             position = 0
         mean = state.service_time.mean
-        if position * mean / slots + mean > message['deadline_ms']:
+        needed_ms = position * mean / slots + mean * _SERVICE_TIMES_LEFT
+        if needed_ms > message['deadline_ms']:
             return 'deadline'
         return None
 
@@ -362,7 +380,8 @@
 
 
 def _too_late(state: _ServiceState, waiting: Waiting, now: float) -> bool:
-    return now + state.service_time.mean / 1000 > waiting.deadline
+    needed_s = _SERVICE_TIMES_LEFT * state.service_time.mean / 1000
+    return now + needed_s > waiting.deadline
 
 
 def _give_up(state: _ServiceState, waiting: Waiting) -> Outgoing:
