--- a/bench/demo.py
+++ b/bench/demo.py
@@ -11,6 +11,7 @@
 
 import argparse
 import asyncio
+import json
 import sys
 import tempfile
 import time
@@ -66,7 +67,7 @@
         zone_by_host={_KEPT: 'zone-0', _STOPPED: 'zone-1', _KILLED: 'zone-2'},
         spares=(_FRESH,),
         targets=target_plans(5, 3, '--service-s=0.01'),
-        workspaces=workspace_plans(large_rate=40),
+        workspaces=workspace_plans(large_rate=120),
         settings=_SETTINGS,
     )
 
@@ -207,6 +208,7 @@
     summary = summarise(load.operations)
     _show(f'refused by reason: {summary.refused_by_reason}')
     _show(f'attempts by kind: {summary.ends_by_kind}')
+    _show(f'attempts refused: {summary.attempts_by_reason}')
     for name, share in sorted(summary.served_by_workspace.items()):
         p99_ms = summary.p99_by_workspace.get(name, 0)
         _show(f'{name}: served {share:.3f}, p99 {p99_ms:.0f} ms')
@@ -219,9 +221,14 @@
     )
 
 
-async def run_demo() -> int:
+async def run_demo(ledger: Path | None) -> int:
     """Run the demo.
 
+    Parameters
+    ----------
+    ledger : Path or None
+        File for one line per operation.
+
     Returns
     -------
     int
@@ -237,6 +244,8 @@
             stop = await _run_load(fleet, load)
         executions = await fleet.around.executions()
         leaks = await leaked_keys(fleet)
+    if ledger is not None:
+        _write_ledger(ledger, load)
     verdict = judge_orders(load.operations, executions)
     breaks = broken_at(load.operations, _STOPPED, stop.signalled_at)
     _show_details(load, breaks, leaks, stop)
@@ -254,6 +263,25 @@
     return int(any(faults) or not summary.answered)
 
 
+def _write_ledger(path: Path, load: Load) -> None:
+    """Write one JSON line for each operation, for analysis."""
+    with path.open('w', encoding='utf-8') as ledger:
+        for one in load.operations:
+            attempts = [at._asdict() for at in one.attempts]
+            for attempt in attempts:
+                attempt.pop('body')
+            line = {
+                'id': one.id,
+                'kind': one.kind,
+                'workspace': one.workspace.name,
+                'outcome': one.outcome,
+                'started_s': one.started_at - _STARTED,
+                'taken_s': one.ended_at - one.started_at,
+                'attempts': attempts,
+            }
+            ledger.write(f'{json.dumps(line)}\n')
+
+
 def main() -> int:
     """Run the demo within its deadline.
 
@@ -262,8 +290,12 @@
     int
         Exit status.
     """
-    argparse.ArgumentParser(description=__doc__).parse_args()
-    return asyncio.run(asyncio.wait_for(run_demo(), DEADLINE_S))
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument(
+        '--ledger', type=Path, help='write one JSON line per operation'
+    )
+    work = run_demo(parser.parse_args().ledger)
+    return asyncio.run(asyncio.wait_for(work, DEADLINE_S))
 
 
 if __name__ == '__main__':
--- a/bench/load.py
+++ b/bench/load.py
@@ -386,6 +386,7 @@
     unknown: int
     refused_by_reason: dict[str, int]
     ends_by_kind: dict[str, int]
+    attempts_by_reason: dict[str, int]
     short: int
     wrong: int
     served_by_workspace: dict[str, float]
@@ -425,10 +426,15 @@
     Returns
     -------
     Summary
-        Totals; ``ends_by_kind`` counts attempts, all else operations.
+        Totals; ``ends_by_kind`` and ``attempts_by_reason`` count attempts,
+        all else operations.
     """
     outcomes = Counter(one.outcome for one in operations)
-    ends = Counter(at.kind for one in operations for at in one.attempts)
+    attempts = [at for one in operations for at in one.attempts]
+    ends = Counter(at.kind for at in attempts)
+    answered_reasons = Counter(
+        at.reason for at in attempts if at.kind in {'refused', 'unknown'}
+    )
     reasons: Counter[str] = Counter()
     total: Counter[str] = Counter()
     latencies: defaultdict[str, list[float]] = defaultdict(list)
@@ -448,6 +454,7 @@
         unknown=outcomes['unknown'],
         refused_by_reason=dict(reasons),
         ends_by_kind=dict(ends),
+        attempts_by_reason=dict(answered_reasons),
         short=ends['short'],
         wrong=ends['wrong'],
         served_by_workspace={
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import ctypes
 import os
 import signal
 import socket
@@ -15,6 +16,8 @@
 _POLL_S = 0.02
 _TERMINATION_S = 2
 _RUN_MODULE = '-m'
+_PR_SET_PDEATHSIG = 1
+_LIBC = ctypes.CDLL(None)
 
 
 async def wait_until(
@@ -99,6 +102,14 @@
     return True
 
 
+def _end_with_parent() -> None:
+    """Have the kernel kill this process when its parent ends.
+
+    A parent that is killed or crashes cannot stop what it started.
+    """
+    _LIBC.prctl(_PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
 class Running(NamedTuple):
     """One started process and where its output goes."""
 
@@ -159,6 +170,7 @@
                 stdin=asyncio.subprocess.DEVNULL,
                 stdout=output,
                 stderr=output,
+                preexec_fn=_end_with_parent,
             )
         running = Running(name, process, log)
         self.by_name[name] = running
--- a/tests/test_fault_proxy.py
+++ b/tests/test_fault_proxy.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import signal
+import sys
 import time
+from pathlib import Path
 
 import pytest
 
@@ -108,3 +110,49 @@
         assert processes.by_name['proxy'].process.returncode == 0
 
     asyncio.run(scenario())
+
+
+_CRASHING_PARENT = """
+import asyncio, os, sys
+from pathlib import Path
+from bench.processes import Processes
+
+async def crash():
+    processes = Processes(Path(sys.argv[1]))
+    running = await processes.start(
+        'proxy', 'bench.fault_proxy', '--control-port', sys.argv[2]
+    )
+    print(running.process.pid, flush=True)
+    os._exit(1)
+
+asyncio.run(crash())
+"""
+
+
+def _has_ended(stat):
+    # A process that nobody waits for stays behind as a zombie.
+    return not stat.exists() or ') Z ' in stat.read_text()
+
+
+def test_processes_end_with_a_parent_that_crashes(tmp_path):
+    """Guards against orphans of a run that did not reach its clean-up."""
+
+    async def scenario():
+        (port,) = free_ports(1)
+        parent = await asyncio.create_subprocess_exec(
+            sys.executable,
+            '-c',
+            _CRASHING_PARENT,
+            str(tmp_path),
+            str(port),
+            stdout=asyncio.subprocess.PIPE,
+        )
+        output, _ = await parent.communicate()
+        stat = Path(f'/proc/{int(output)}/stat')
+
+        async def ended():
+            return _has_ended(stat)
+
+        await wait_until(ended, 5, 'the process has ended')
+
+    asyncio.run(scenario())
