Give merged earlier documents a version of their own

Token buckets keep one table per version; a merged document under the newer version's number would have been taken for that version, with larger shares.

--- a/oleanderridge/config/store.py
+++ b/oleanderridge/config/store.py
@@ -346,7 +346,8 @@
     """Return a document whose shares are no larger than in either one.
 
     A workspace that differs is left out: it then has no share until both
-    versions have settled.
+    versions have settled. The version is the negative of the newer one, so
+    that nobody takes the result for a document of that version.
     """
     newer_by_name = {
         workspace['name']: workspace for workspace in newer['workspaces']
@@ -356,7 +357,8 @@
         for workspace in older['workspaces']
         if newer_by_name.get(workspace['name']) == workspace
     ]
-    return {**newer, 'workspaces': workspaces}
+    version = -abs(newer['version'])
+    return {**newer, 'version': version, 'workspaces': workspaces}
 
 
 def _checked_manifest(
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -277,8 +277,12 @@
     """Guards against unsettled versions or conflicts filling the memory."""
     store = BundleStore([KEYS.public])
     last = PREVIOUS_MAX + 20
+    seen = {}
     for version in range(1, last + 1):
         deliver(store, bundle(document(version, rate=version)))
+        for previous in store.previous.values():
+            kept = previous.document
+            assert seen.setdefault(kept['version'], kept) == kept
     kept = {id(bundle.document) for bundle in store.previous.values()}
     assert len(kept) <= PREVIOUS_MAX
     assert set(store.previous) == set(range(1, last))
