Serve services that are slower than a third of their timeout

Cause: a request was refused unless three mean service times were left, so a service with a mean of 2.5 s and a timeout of 5 s refused every request, and with no request it could not learn a shorter time. Change: the time that must be left is at most half of the service's timeout. Result: test_a_service_slower_than_a_third_of_its_timeout_is_served fails before and passes after.

--- a/oleanderridge/dispatch/broker.py
+++ b/oleanderridge/dispatch/broker.py
@@ -273,9 +273,8 @@
         position = state.queue.ahead(message['workspace']) + 1
         if slots > sum(state.in_flight.values()):
             position = 0
-        mean = state.service_time.mean
-        needed_ms = position * mean / slots + mean * _SERVICE_TIMES_LEFT
-        if needed_ms > message['deadline_ms']:
+        wait_ms = position * state.service_time.mean / slots
+        if wait_ms + _time_to_serve_ms(state) > message['deadline_ms']:
             return 'deadline'
         return None
 
@@ -380,8 +379,14 @@
 
 
 def _too_late(state: _ServiceState, waiting: Waiting, now: float) -> bool:
-    needed_s = _SERVICE_TIMES_LEFT * state.service_time.mean / 1000
-    return now + needed_s > waiting.deadline
+    return now + _time_to_serve_ms(state) / 1000 > waiting.deadline
+
+
+def _time_to_serve_ms(state: _ServiceState) -> float:
+    # Without the bound a service whose mean time is over a third of its
+    # timeout would refuse every request, and learn no shorter time either.
+    bound_ms = state.service['timeout_ms'] / 2
+    return min(_SERVICE_TIMES_LEFT * state.service_time.mean, bound_ms)
 
 
 def _give_up(state: _ServiceState, waiting: Waiting) -> Outgoing:
