--- a/oleanderridge/admission/bucket.py
+++ b/oleanderridge/admission/bucket.py
@@ -14,13 +14,23 @@
     Always ``level + occupied <= capacity``. ``clock`` is the lease clock up
     to which tokens have accrued; ``grants`` holds the monotonic times at
     which granted tokens stop occupying capacity. ``taken`` counts tokens
-    taken since the share was last lost, the most that can be refunded.
+    taken since the share was last lost, the most that can be refunded;
+    ``epoch`` numbers the host lists to which the share belongs.
     """
 
-    __slots__ = ('capacity', 'clock', 'grants', 'level', 'rate', 'taken')
-
-    def __init__(self, clock: float) -> None:
+    __slots__ = (
+        'capacity',
+        'clock',
+        'epoch',
+        'grants',
+        'level',
+        'rate',
+        'taken',
+    )
+
+    def __init__(self, clock: float, epoch: int) -> None:
         """Start empty."""
+        self.epoch = epoch
         self.level: float = 0
         self.rate: float = 0
         self.capacity: float = 0
--- a/oleanderridge/admission/buckets.py
+++ b/oleanderridge/admission/buckets.py
@@ -10,11 +10,11 @@
 from oleanderridge.admission.leaseclock import LeaseClock
 from oleanderridge.admission.replies import ReplyMemory
 from oleanderridge.admission.terms import (
+    MinterLookup,
     Share,
     Table,
     build_table,
     changed_names,
-    listed_minters,
     smallest_share,
 )
 from oleanderridge.generated.bundle import BundleDocument
@@ -31,6 +31,9 @@
 NO_LEASE: Final = 'no-lease'
 NOT_MINTER: Final = 'not-minter'
 
+# A bucket that was not used over more list changes starts empty.
+_EPOCHS_KEPT: Final = 16
+
 
 class Take(NamedTuple):
     """Outcome of asking the local bucket for one token."""
@@ -39,6 +42,11 @@
     retry_after_s: float
 
 
+class _Epoch(NamedTuple):
+    clock: float
+    lists: tuple[HostList, ...]
+
+
 def grant_usable(sent_at: float, now: float, settings: Settings) -> bool:
     """Return whether a granted token may still be used.
 
@@ -66,9 +74,14 @@
     def __init__(self, host: str, settings: Settings) -> None:
         """Start without lists and bundles, hence without shares."""
         self._host = host
+        self._cell = settings['cell']
         self._settings = settings['admission']
         self._hold_s = settings['membership']['hold_s']
+        self._lookup = MinterLookup(self._settings['minters_max'])
         self._lists: tuple[HostList, ...] = ()
+        # Lists in force with the lease clock at their start, by epoch.
+        self._epoch = 0
+        self._epochs: dict[int, _Epoch] = {}
         self._tables: tuple[Table, ...] = ()
         self._documents: tuple[BundleDocument, ...] = ()
         self._unequal: set[str] = set()
@@ -101,7 +114,7 @@
         new_lists = tuple(lists)
         new_documents = tuple(documents)
         if _revisions(new_lists) != _revisions(self._lists):
-            self._change_lists(new_lists, now)
+            self._change_lists(new_lists)
         if _versions(new_documents) != _versions(self._documents):
             self._change_documents(new_documents, now)
 
@@ -213,9 +226,7 @@
         terms = self._tables[-1].get(workspace) if self._tables else None
         if terms is None or not self._lists:
             return ()
-        listed = listed_minters(
-            self._lists[-1], terms, self._settings['minters_max']
-        )
+        listed = self._lookup(self._lists[-1], terms)
         return tuple(host for host in listed if host != self._host)
 
     def snapshot(self, limit: int) -> list[dict[str, Any]]:
@@ -270,32 +281,47 @@
             'retry_after_ms': ceil(retry_after_s * 1000),
         }
 
-    def _share(self, workspace: str) -> Share:
+    def _share(self, workspace: str, lists: tuple[HostList, ...]) -> Share:
         return smallest_share(
             self._host,
-            self._lists,
+            lists,
             [table.get(workspace) for table in self._tables],
-            self._settings['minters_max'],
+            self._lookup,
         )
 
     def _bucket(self, workspace: str, now: float) -> Bucket | None:
         bucket = self._buckets.get(workspace)
         if bucket is None:
-            share = self._share(workspace)
+            share = self._share(workspace, self._lists)
             if not share.capacity:
                 return None
             since = self._changed_at.pop(workspace, self._since)
-            bucket = Bucket(max(since, self._since))
+            bucket = Bucket(max(since, self._since), self._epoch)
             bucket.set_share(*share, now)
             self._buckets[workspace] = bucket
-        bucket.accrue(self._clock.elapsed, now)
+        self._catch_up(workspace, bucket, now)
         return bucket if bucket.capacity else None
 
-    def _change_lists(self, lists: tuple[HostList, ...], now: float) -> None:
+    def _change_lists(self, lists: tuple[HostList, ...]) -> None:
         self._lists = lists
         self._since = self._clock.elapsed
         self._changed_at.clear()
-        self._reshare(list(self._buckets), now)
+        self._epoch += 1
+        self._epochs[self._epoch] = _Epoch(self._clock.elapsed, lists)
+        self._epochs.pop(self._epoch - _EPOCHS_KEPT, None)
+
+    def _catch_up(self, workspace: str, bucket: Bucket, now: float) -> None:
+        # Replays the list changes since the last use of the bucket, so that
+        # a list change costs nothing for the buckets that are not in use.
+        if bucket.epoch <= self._epoch - _EPOCHS_KEPT:
+            bucket.empty()
+            bucket.epoch = self._epoch - _EPOCHS_KEPT
+        while bucket.epoch < self._epoch:
+            bucket.epoch += 1
+            epoch = self._epochs[bucket.epoch]
+            bucket.accrue(epoch.clock, now)
+            bucket.set_share(*self._share(workspace, epoch.lists), now)
+        bucket.accrue(self._clock.elapsed, now)
 
     def _change_documents(
         self,
@@ -309,17 +335,22 @@
             )
         }
         tables = tuple(
-            known.get(document['version']) or build_table(document)
+            known.get(document['version']) or build_table(document, self._cell)
             for document in documents
         )
         affected = self._affected(tables)
         self._unequal = changed_names(tables)
+        # The catching up needs the terms that were in force until now.
+        for name in affected & self._buckets.keys():
+            self._catch_up(name, self._buckets[name], now)
         self._documents = documents
         self._tables = tables
         for name in affected:
-            if name not in self._buckets:
+            bucket = self._buckets.get(name)
+            if bucket is None:
                 self._changed_at[name] = self._clock.elapsed
-        self._reshare(affected & self._buckets.keys(), now)
+            else:
+                bucket.set_share(*self._share(name, self._lists), now)
 
     def _affected(self, tables: Sequence[Table]) -> set[str]:
         if not self._tables:
@@ -327,12 +358,6 @@
             return set()
         return self._unequal | changed_names((self._tables[-1], *tables))
 
-    def _reshare(self, names: Iterable[str], now: float) -> None:
-        for name in names:
-            bucket = self._buckets[name]
-            bucket.accrue(self._clock.elapsed, now)
-            bucket.set_share(*self._share(name), now)
-
 
 def _revisions(lists: Iterable[HostList]) -> list[int]:
     return [host_list['revision'] for host_list in lists]
--- a/oleanderridge/admission/terms.py
+++ b/oleanderridge/admission/terms.py
@@ -10,6 +10,10 @@
 from oleanderridge.generated.messages import HostList
 
 _DEFAULT_CELL: Final = 'default'
+# About 3 MB.
+_LOOKUP_LIMIT: Final = 10_000
+
+_Terms = tuple[int, str, int, str]
 
 
 class Share(NamedTuple):
@@ -24,20 +28,26 @@
 Table = dict[str, Workspace]
 
 
-def build_table(document: BundleDocument) -> Table:
-    """Return the workspaces of a bundle by name.
+def build_table(document: BundleDocument, cell: str) -> Table:
+    """Return the workspaces of one cell by name.
 
     Parameters
     ----------
     document : BundleDocument
         A validated bundle.
+    cell : str
+        The cell of this host; it mints for no other.
 
     Returns
     -------
     dict of str to Workspace
         Shares its values with the document.
     """
-    return {entry['name']: entry for entry in document['workspaces']}
+    return {
+        entry['name']: entry
+        for entry in document['workspaces']
+        if cell_of(entry) == cell
+    }
 
 
 def cell_of(workspace: Workspace) -> str:
@@ -93,37 +103,59 @@
     return names
 
 
-def listed_minters(
-    host_list: HostList,
-    workspace: Workspace,
-    minters_max: int,
-) -> tuple[str, ...]:
-    """Return the minters of a workspace within its cell.
-
-    Parameters
-    ----------
-    host_list : HostList
-        Hosts of any cells.
-    workspace : Workspace
-        One workspace of a bundle.
-    minters_max : int
-        From the settings.
-
-    Returns
-    -------
-    tuple of str
-        Best first.
-    """
-    order = minter_order(host_list, workspace['name'], cell_of(workspace))
-    count = minter_count(workspace['burst'], minters_max, len(order))
-    return tuple(order[:count])
+class MinterLookup:
+    """Minters by list revision and workspace, computed once."""
+
+    def __init__(self, minters_max: int) -> None:
+        """Start empty."""
+        self._minters_max = minters_max
+        self._by_terms: dict[_Terms, tuple[str, ...]] = {}
+
+    def __call__(
+        self,
+        host_list: HostList,
+        workspace: Workspace,
+    ) -> tuple[str, ...]:
+        """Return the minters of a workspace within its cell.
+
+        Parameters
+        ----------
+        host_list : HostList
+            Hosts of any cells.
+        workspace : Workspace
+            One workspace of a bundle.
+
+        Returns
+        -------
+        tuple of str
+            Best first.
+        """
+        cell = cell_of(workspace)
+        terms = (
+            host_list['revision'],
+            workspace['name'],
+            workspace['burst'],
+            cell,
+        )
+        listed = self._by_terms.get(terms)
+        if listed is None:
+            order = minter_order(host_list, workspace['name'], cell)
+            count = minter_count(
+                workspace['burst'], self._minters_max, len(order)
+            )
+            listed = tuple(order[:count])
+            # Dropping everything is rare and keeps the lookup simple.
+            if len(self._by_terms) >= _LOOKUP_LIMIT:
+                self._by_terms.clear()
+            self._by_terms[terms] = listed
+        return listed
 
 
 def smallest_share(
     host: str,
     lists: Iterable[HostList],
     workspaces: Sequence[Workspace | None],
-    minters_max: int,
+    lookup: MinterLookup,
 ) -> Share:
     """Return the smallest share over all combinations that may be in force.
 
@@ -136,8 +168,8 @@
     workspaces : sequence of Workspace or None
         The workspace in each unsettled bundle and the current one; None
         where the bundle does not have it.
-    minters_max : int
-        From the settings.
+    lookup : MinterLookup
+        Finds the minters.
 
     Returns
     -------
@@ -145,11 +177,11 @@
         ``NO_SHARE`` when some combination gives this host nothing.
     """
     shares = [
-        _share(host, host_list, workspace, minters_max)
+        _share(host, host_list, workspace, lookup)
         for host_list in lists
         for workspace in workspaces
     ]
-    if not shares or NO_SHARE in shares:
+    if not shares:
         return NO_SHARE
     return Share(
         rate=min(share.rate for share in shares),
@@ -161,11 +193,11 @@
     host: str,
     host_list: HostList,
     workspace: Workspace | None,
-    minters_max: int,
+    lookup: MinterLookup,
 ) -> Share:
     if workspace is None:
         return NO_SHARE
-    listed = listed_minters(host_list, workspace, minters_max)
+    listed = lookup(host_list, workspace)
     if host not in listed:
         return NO_SHARE
     return Share(
--- a/tests/test_buckets.py
+++ b/tests/test_buckets.py
@@ -115,6 +115,11 @@
     for _ in range(30):
         buckets.refund('mill', 5)
     assert _taken(buckets, 5) == 20
+    _leased(buckets, 6, 11)
+    buckets.take('mill', 10, 14)
+    buckets.refund('mill', 10)
+    buckets.refund('mill', 10)
+    assert _taken(buckets, 10) == 20
 
 
 def test_smallest_share_holds_while_bundles_are_unsettled():
