--- a/bench/experiments.py
+++ b/bench/experiments.py
@@ -47,6 +47,7 @@
 TRACED: Final = (
     'limping',
     'short',
+    'short-third',
     'timeout',
     'reset',
     'flapping',
--- a/features/ejection.feature
+++ b/features/ejection.feature
@@ -13,11 +13,12 @@
     And no other target is ejected
 
     Examples:
-      | trace   | seconds | met |
-      | limping | 2.5     | 14  |
-      | short   | 0.5     | 6   |
-      | reset   | 0.3     | 6   |
-      | timeout | 2.5     | 4   |
+      | trace       | seconds | met |
+      | limping     | 2.5     | 14  |
+      | short       | 0.5     | 6   |
+      | short-third | 3       | 40  |
+      | reset       | 0.3     | 6   |
+      | timeout     | 2.5     | 4   |
 
   Scenario Outline: A path that some hosts have lost is avoided, not ejected
     Given the recorded trace "<trace>"
--- a/tests/test_broker.py
+++ b/tests/test_broker.py
@@ -67,6 +67,16 @@
     assert freed[0].message['request_id'] == 'r2'
 
 
+def test_a_free_slot_elsewhere_does_not_overcommit(settings, make_service):
+    """Guards against a third permit on a target while another is free."""
+    broker = Broker(settings, Random(1))
+    broker.configure([make_service(2)], (), 0)
+    for number in range(2):
+        broker.on_request(_request(f'r{number}', excluded=['t1']), 0)
+    waiting = broker.on_request(_request('r2', excluded=['t1']), 0)
+    assert _kinds(waiting) == ['permit_queued']
+
+
 def test_repeated_request_gets_the_earlier_reply(broker):
     """Guards against a keep-alive that takes a second slot."""
     first = broker.on_request(_request('r1'), 0)[1].message
