--- a/oleanderridge/dispatch/broker.py
+++ b/oleanderridge/dispatch/broker.py
@@ -18,7 +18,12 @@
 )
 from oleanderridge.generated.settings import Settings
 from oleanderridge.health.evidence import LatencyAverage
-from oleanderridge.health.service import Candidate, Flight, ServiceHealth
+from oleanderridge.health.service import (
+    Candidate,
+    Flight,
+    ServiceHealth,
+    passed_over,
+)
 from oleanderridge.wire import Outgoing
 
 # A request starts only with this many mean service times left; with one, an
@@ -321,9 +326,10 @@
         if not free:
             return None
 
-        def load(candidate: Candidate) -> tuple[bool, float, float]:
+        def load(candidate: Candidate) -> tuple[bool, bool, float, float]:
             return (
                 candidate.forced,
+                passed_over(candidate, self._rng),
                 state.in_flight[candidate.target] / candidate.slots,
                 self._rng.random(),
             )
--- a/oleanderridge/dispatch/independent.py
+++ b/oleanderridge/dispatch/independent.py
@@ -8,7 +8,11 @@
 
 from oleanderridge.generated.bundle import Service
 from oleanderridge.generated.settings import Settings
-from oleanderridge.health.service import Candidate, ServiceHealth
+from oleanderridge.health.service import (
+    Candidate,
+    ServiceHealth,
+    passed_over,
+)
 
 
 class IndependentDispatch:
@@ -98,5 +102,11 @@
             )
 
     def _better_of_two(self, idle: list[Candidate]) -> Candidate:
-        pair = self._rng.sample(idle, min(2, len(idle)))
+        competing = [
+            candidate
+            for candidate in idle
+            if not passed_over(candidate, self._rng)
+        ]
+        choices = competing or idle
+        pair = self._rng.sample(choices, min(2, len(choices)))
         return min(pair, key=lambda candidate: candidate.latency_ms)
--- a/oleanderridge/health/service.py
+++ b/oleanderridge/health/service.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Collection, Iterable
+from random import Random
 from statistics import median
 from typing import Any, Final, NamedTuple
 
@@ -59,6 +60,15 @@
     forced: bool
 
 
+def passed_over(candidate: Candidate, rng: Random) -> bool:
+    """Return whether a cold target is passed over in this pick.
+
+    A cold target competes in the part of the picks that its weight gives,
+    and otherwise only receives what finds no other free target.
+    """
+    return candidate.weight < 1 and rng.random() >= candidate.weight
+
+
 class Flight(NamedTuple):
     """A request that a target has not answered yet."""
 
@@ -126,8 +136,7 @@
     def update(self, service: Service, now: float) -> None:
         """Take over a changed definition; new targets start cold."""
         self._cache.clear()
-        if service['health'] != self._policy:
-            self._profile = LatencyProfile(service['health']['latency_factor'])
+        changed = service['health'] != self._policy
         self._service = service
         self._policy = service['health']
         known = self._by_name
@@ -139,6 +148,11 @@
                 record.warm_from = now
             record.slots = definition['slots']
             self._by_name[record.name] = record
+        if changed:
+            # Scores are bounded by thresholds, so old ones do not compare.
+            self._profile = LatencyProfile(self._policy['latency_factor'])
+            for kept in self._by_name.values():
+                kept.forget_evidence(self._policy)
 
     def report(
         self,
--- a/tests/test_broker.py
+++ b/tests/test_broker.py
@@ -77,6 +77,18 @@
     assert _kinds(waiting) == ['permit_queued']
 
 
+def test_a_new_target_receives_little_at_first(broker, make_service):
+    """Guards against full load on a target that is still cold."""
+    broker.configure([make_service(2)], (), 100)
+    picked = []
+    for number in range(200):
+        request = _request(f'r{number}')
+        grant = broker.on_request(request, 101)[1].message
+        broker.on_return(_return(grant), 101)
+        picked.append(grant['target'])
+    assert 1 <= picked.count('t1') <= 40
+
+
 def test_repeated_request_gets_the_earlier_reply(broker):
     """Guards against a keep-alive that takes a second slot."""
     first = broker.on_request(_request('r1'), 0)[1].message
