--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -127,6 +127,9 @@
             }
             for service, timeout_ms in timeouts.items()
         ]
+        if self.plan.echo_header:
+            for service in services:
+                service['echo_header'] = self.plan.echo_header
         return {
             'version': 0,
             'parent': '',
--- a/features/process_graceful_stop.feature
+++ b/features/process_graceful_stop.feature
@@ -11,3 +11,4 @@
     When the load ends
     Then no request at host-b was cut
     And no order ran twice and none was lost
+    And no target received a key
--- a/features/steps/process_steps.py
+++ b/features/steps/process_steps.py
@@ -35,6 +35,9 @@
 
 _ZONES = 3
 _CHART_BYTES = 300_000
+_ECHO_HEADER = 'Request-Id'
+# Requests are admitted this long before their execution at the most.
+_QUEUE_S = 0.5
 # Rates leave room for the requests that steps send besides the load.
 _OFFERED = 0.05
 _FIRST = 0
@@ -47,8 +50,28 @@
 
 @given('a fleet of {count:d} hosts')
 def given_fleet(context, count):
+    context.run(_start(context, _plan(count)))
+
+
+@given('a fleet of {count:d} hosts whose targets repeat the request id')
+def given_echo_fleet(context, count):
+    options = ('--service-s=0.005', f'--echo-header={_ECHO_HEADER}')
+    plan = _plan(count)._replace(
+        targets=target_plans(3, 2, *options), echo_header=_ECHO_HEADER
+    )
+    context.run(_start(context, plan))
+
+
+@given('a fleet of {count:d} hosts with rates of {rate:d} per second')
+def given_rate_fleet(context, count, rate):
+    # Small workspaces have a quarter of the rate of large ones.
+    workspaces = workspace_plans(large_rate=4 * rate)
+    context.run(_start(context, _plan(count)._replace(workspaces=workspaces)))
+
+
+def _plan(count):
     names = [f'host-{letter}' for letter in 'abcdefgh'[:count]]
-    plan = FleetPlan(
+    return FleetPlan(
         zone_by_host={
             name: f'zone-{index % _ZONES}' for index, name in enumerate(names)
         },
@@ -59,7 +82,6 @@
         ),
         settings=FAST_SETTINGS,
     )
-    context.run(_start(context, plan))
 
 
 async def _start(context, plan):
@@ -425,6 +447,75 @@
     assert found['started'] == 1, found
 
 
+@given('{target} sends each answer to the next request')
+def given_crossed(context, target):
+    context.run(context.fleet.around.target_faults(target, crossed=True))
+
+
+@given('{target} sends bytes that nobody asked for')
+def given_stray(context, target):
+    context.run(context.fleet.around.target_faults(target, stray=True))
+
+
+@then('target-0 and target-1 had work')
+def then_had_work(context):
+    for target in ('target-0', 'target-1'):
+        counts = context.run(context.fleet.around.target_counts(target))
+        assert counts.get('started'), counts
+
+
+@when('a workspace sends {factor:d} times its rate for {seconds:d} s')
+def when_flood(context, factor, seconds):
+    load = context.load
+    flooding = load.workspaces[_LAST]
+    load.factors[flooding.name] = factor / flooding.offered
+    load.workspaces = [flooding]
+    load.plan = load.plan._replace(give_up_s=2)
+    context.run(load.run(seconds))
+
+
+@then('no window of time holds more executions than its rate and burst')
+def then_rate_held(context):
+    flooding = context.load.workspaces[_LAST]
+    moments = sorted(context.run(_started_moments(context, flooding)))
+    assert len(moments) > flooding.burst / 2, len(moments)
+    for first, start in enumerate(moments):
+        for last in range(first, len(moments)):
+            window_s = moments[last] - start + _QUEUE_S
+            bound = flooding.rate * window_s + flooding.burst
+            assert last - first + 1 <= bound, (last - first + 1, window_s)
+
+
+async def _started_moments(context, workspace):
+    mine = {
+        one.id
+        for one in (*context.load.operations, *context.sent)
+        if one.workspace.name == workspace.name
+    }
+    moments = []
+    for target in context.fleet.plan.targets:
+        records = await context.fleet.around.target_records(target.name, '')
+        moments.extend(
+            one['started_at'] for one in records if one['operation'] in mine
+        )
+    return moments
+
+
+@then('no target received a key')
+def then_no_key(context):
+    context.run(_check_keys(context))
+
+
+async def _check_keys(context):
+    fleet = context.fleet
+    for target in fleet.plan.targets:
+        for workspace in fleet.plan.workspaces:
+            found = await fleet.around.target_records(
+                target.name, workspace.key
+            )
+            assert not found, found[0]
+
+
 @given('{target} cuts its answers in half by {framing}')
 def given_halves(context, target, framing):
     faults = context.fleet.around.target_faults(target, half=framing)
