--- a/oleanderridge/membership/settle.py
+++ b/oleanderridge/membership/settle.py
@@ -30,6 +30,16 @@
         self.doubt_from = doubt_from
         self.confirmed_at = inf
 
+    def doubt(self, since: float) -> None:
+        """Note that a majority still stated ``older`` or less.
+
+        Parameters
+        ----------
+        since : float
+            Monotonic seconds; minus infinity for never.
+        """
+        self.doubt_from = max(self.doubt_from, since)
+
     def confirm(self, now: float) -> None:
         """Note that a majority has stated the successor or a later one.
 
--- a/oleanderridge/membership/state.py
+++ b/oleanderridge/membership/state.py
@@ -533,6 +533,12 @@
 
     def _refresh(self, now: float) -> None:
         self._evidence_end = None
+        for step in self._list_steps:
+            if step.unknown_between:
+                step.doubt(self._doubt_from_list(step.older, now))
+        for step in self._version_steps:
+            if step.unknown_between:
+                step.doubt(self._doubt_from_version(step.older, now))
         self._confirm_lists(now)
         self._confirm_versions(now)
         self._settle(now)
--- a/tests/test_rate_liveness.py
+++ b/tests/test_rate_liveness.py
@@ -5,6 +5,7 @@
 import pytest
 
 from oleanderridge.admission.buckets import TokenBuckets
+from tests.fleet_model import Fleet
 from tests.simulated import bundle, host_list, settings
 
 _WARM_UP = 40
@@ -84,3 +85,22 @@
 def test_load_within_the_rate_is_admitted(size, burst, skewed):
     """Guards against shares that strand tokens where nobody asks."""
     assert wrongful_share(size, 10, burst, skewed) <= 0.01
+
+
+def test_changes_cost_no_lease():
+    """Guards against a rollout, skipped versions too, that stops minting."""
+    fleet = Fleet(1, 5, 10, 60)
+    fleet.advance(25)
+    for change in ('bundle', 'list'):
+        for _ in range(2):
+            if change == 'bundle':
+                fleet.publish_bundle(10, 60)
+            else:
+                fleet.publish_list(fleet.names)
+        fleet.read_platform(fleet.processes[0])
+        for _ in range(24):
+            fleet.advance(0.5)
+            assert all(each.lease() for each in fleet.processes)
+    newest = fleet.processes[-1].in_force()
+    assert [each['revision'] for each in newest[0]] == [3]
+    assert [each['version'] for each in newest[1]] == [3]
