--- a/oleanderridge/membership/state.py
+++ b/oleanderridge/membership/state.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Mapping
 from math import inf
-from typing import Final, NamedTuple
+from typing import NamedTuple
 
 from oleanderridge.generated.messages import (
     Heartbeat,
@@ -15,6 +15,7 @@
 from oleanderridge.generated.settings import Settings
 from oleanderridge.membership.evidence import PeerRecord, Statement
 from oleanderridge.membership.joining import Joining, may_join
+from oleanderridge.membership.members import NO_STAMP, Member, describe
 from oleanderridge.membership.settle import Step, lease_bound, unsettled
 from oleanderridge.membership.weights import (
     cell_entries,
@@ -23,25 +24,6 @@
     majority_stamp,
 )
 
-_NO_ECHO: Final = -1
-
-
-class Member(NamedTuple):
-    """One host of the cell as this host sees it; times in seconds.
-
-    ``stamp`` is on the member's clock, ``heard_at`` on ours.
-    """
-
-    host: str
-    zone: str
-    caller_url: str
-    incarnation: int
-    stamp: float
-    heard_at: float
-    alive: bool
-    leaving: bool
-    watching: bool
-
 
 class News(NamedTuple):
     """Which side of a heartbeat holds something that the other lacks."""
@@ -275,7 +257,7 @@
             'incarnation': self._incarnation,
             'zone': self._settings['zone'],
             'stamp': now,
-            'echo': record.stamp if record else _NO_ECHO,
+            'echo': record.stamp if record else NO_STAMP,
             'echo_incarnation': record.incarnation if record else 0,
             'list_revision': self._list['revision'] if self._list else 0,
             'unsettled_revisions': sorted(self._older),
@@ -405,12 +387,22 @@
         tuple of Member
             By host name; this host included when it is listed.
         """
-        return tuple(
-            self._own_member(entry, now)
-            if host == self._host
-            else self._member(entry, now)
+        suspect_s = self._times['suspect_s']
+        members = {
+            host: describe(entry, self._records.get(host), now - suspect_s)
             for host, entry in sorted(self._entries.items())
-        )
+        }
+        own = members.get(self._host)
+        if own is not None:
+            members[self._host] = own._replace(
+                incarnation=self._incarnation,
+                stamp=now,
+                heard_at=now,
+                alive=True,
+                leaving=own.leaving or self._leaving,
+                watching=self.watching,
+            )
+        return tuple(members.values())
 
     def peer_addresses(self) -> dict[str, str]:
         """Return where heartbeats are sent.
@@ -626,6 +618,12 @@
                 self._older.pop(revision)
                 self._weights.pop(revision)
                 self._settled_below = max(self._settled_below, revision + 1)
+        listed = self.peer_addresses().keys() | self._entries.keys()
+        self._records = {
+            host: record
+            for host, record in self._records.items()
+            if host in listed
+        }
         self._evidence_end = None
 
     def _add_older(self, host_list: HostList) -> None:
@@ -692,39 +690,6 @@
         heard.add(self._host)
         return holds_majority(self._weights[self._list['revision']], heard)
 
-    # Members
-
-    def _own_member(self, entry: HostEntry, now: float) -> Member:
-        return Member(
-            host=self._host,
-            zone=entry['zone'],
-            caller_url=entry['caller_url'],
-            incarnation=self._incarnation,
-            stamp=now,
-            heard_at=now,
-            alive=True,
-            leaving=self._leaving or entry['state'] != 'live',
-            watching=self.watching,
-        )
-
-    def _member(self, entry: HostEntry, now: float) -> Member:
-        record = self._records.get(entry['host'])
-        latest = record.latest if record else None
-        fenced = entry['state'] == 'fenced'
-        heard_at = record.heard_at if record else -inf
-        return Member(
-            host=entry['host'],
-            zone=entry['zone'],
-            caller_url=entry['caller_url'],
-            incarnation=record.incarnation if record else 0,
-            stamp=record.stamp if record else _NO_ECHO,
-            heard_at=heard_at,
-            alive=not fenced and heard_at >= now - self._times['suspect_s'],
-            leaving=entry['state'] != 'live'
-            or (latest is not None and latest['leaving']),
-            watching=latest is not None and latest['watching'],
-        )
-
 
 def _revision(host_list: HostList) -> int:
     return host_list['revision']
