--- a/oleanderridge/membership/state.py
+++ b/oleanderridge/membership/state.py
@@ -2,25 +2,22 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
 from math import inf
 from typing import NamedTuple
 
 from oleanderridge.generated.messages import (
     Heartbeat,
-    HostEntry,
     HostList,
     ListPush,
 )
 from oleanderridge.generated.settings import Settings
 from oleanderridge.membership.evidence import PeerRecord, Statement
+from oleanderridge.membership.history import ListHistory
 from oleanderridge.membership.joining import Joining, may_join
 from oleanderridge.membership.members import NO_STAMP, Member, describe
 from oleanderridge.membership.settle import Step, lease_bound, unsettled
 from oleanderridge.membership.weights import (
-    cell_entries,
     holds_majority,
-    list_weights,
     majority_stamp,
 )
 
@@ -47,17 +44,11 @@
         self._settings = settings
         self._times = settings['membership']
         self._host = settings['host']
-        self._cell = settings['cell']
         self._incarnation = incarnation
         self._started = started
         self._bundle = (0, '')
-        self._list: HostList | None = None
-        self._entries: dict[str, HostEntry] = {}
-        self._older: dict[int, HostList] = {}
-        self._weights: dict[int, dict[str, float]] = {}
-        self._list_steps: list[Step] = []
+        self._lists = ListHistory(settings['cell'])
         self._version_steps: list[Step] = []
-        self._settled_below = 0
         self._records: dict[str, PeerRecord] = {}
         self._joined = False
         self._leaving = False
@@ -81,23 +72,10 @@
         bool
             Whether the list is in force now.
         """
-        revision = host_list['revision']
-        if self._list is not None:
-            older = self._list['revision']
-            if revision <= older:
-                return False
-            self._older[older] = self._list
-            self._list_steps.append(
-                Step(
-                    older=older,
-                    successor=revision,
-                    unknown_between=revision != older + 1,
-                    doubt_from=self._doubt_from_list(older, now),
-                )
-            )
-        self._list = host_list
-        self._entries = cell_entries(host_list, self._cell)
-        self._weights[revision] = list_weights(host_list, self._cell)
+        if host_list['revision'] <= self._lists.revision:
+            return False
+        doubt_from = self._doubt_from_list(self._lists.revision, now)
+        self._lists.adopt(host_list, doubt_from)
         self._refresh(now)
         return True
 
@@ -117,7 +95,7 @@
         )
         for host_list in pushed:
             if not self.accept_list(host_list, now):
-                self._add_older(host_list)
+                self._lists.add_older(host_list)
         self._refresh(now)
 
     def list_push(self) -> ListPush:
@@ -133,13 +111,13 @@
         ValueError
             There is no list yet.
         """
-        if self._list is None:
+        if self._lists.current is None:
             raise ValueError('no host list to push')
         return {
             'kind': 'list_push',
             'host': self._host,
-            'newest': self._list,
-            'unsettled': [self._older[key] for key in sorted(self._older)],
+            'newest': self._lists.current,
+            'unsettled': list(self._lists.older()),
             'released': sorted(self._released()),
         }
 
@@ -151,7 +129,7 @@
         HostList or None
             None before the first list.
         """
-        return self._list
+        return self._lists.current
 
     def unsettled_lists(self, now: float) -> tuple[HostList, ...]:
         """Return the lists under which some host may hold a lease.
@@ -167,10 +145,7 @@
             Oldest first, the current one last.
         """
         self._settle(now)
-        if self._list is None:
-            return ()
-        older = (self._older[key] for key in sorted(self._older))
-        return (*older, self._list)
+        return self._lists.in_force()
 
     def targets_leaving(self) -> frozenset[str]:
         """Return the targets to which no new work goes.
@@ -180,9 +155,9 @@
         frozenset of str
             Target names of the current list.
         """
-        if self._list is None:
+        if self._lists.current is None:
             return frozenset()
-        return frozenset(self._list['targets_leaving'])
+        return frozenset(self._lists.current['targets_leaving'])
 
     # Bundle versions
 
@@ -248,7 +223,7 @@
             To be sent at once: it states what holds at ``now``.
         """
         record = self._records.get(peer)
-        entry = self._entries.get(self._host)
+        entry = self._lists.entries.get(self._host)
         leaving_by_list = entry is not None and entry['state'] != 'live'
         self._settle(now)
         return {
@@ -259,8 +234,8 @@
             'stamp': now,
             'echo': record.stamp if record else NO_STAMP,
             'echo_incarnation': record.incarnation if record else 0,
-            'list_revision': self._list['revision'] if self._list else 0,
-            'unsettled_revisions': sorted(self._older),
+            'list_revision': self._lists.revision,
+            'unsettled_revisions': self._lists.older_revisions,
             'bundle_version': self._bundle[0],
             'bundle_digest': self._bundle[1],
             'uptime_s': now - self._started,
@@ -300,10 +275,10 @@
                 keep_s = self._times['lease_s']
                 record.acknowledge(message, now, keep_s)
             self._refresh(now)
-        revision = self._list['revision'] if self._list else 0
+        revision = self._lists.revision
         return News(
             list_behind=message['list_revision'] > revision
-            or not self._knows_all(message['unsettled_revisions']),
+            or not self._lists.knows_all(message['unsettled_revisions']),
             bundle_behind=message['bundle_version'] > self._bundle[0],
             list_ahead=message['list_revision'] < revision,
         )
@@ -323,7 +298,7 @@
         bool
             Once true it stays true.
         """
-        if not self._joined and self._list is not None:
+        if not self._joined:
             self._joined = self._joins(now)
             self._evidence_end = None
         return self._joined
@@ -343,7 +318,7 @@
         """
         if self._leaving or self._superseded or not self.joined(now):
             return 0
-        if self._host not in self._entries:
+        if self._host not in self._lists.entries:
             return 0
         self._settle(now)
         if self._evidence_end is None:
@@ -353,7 +328,7 @@
             self._evidence_end,
             now + self._times['lease_s'],
             lease_bound(
-                (*self._list_steps, *self._version_steps),
+                (*self._lists.steps, *self._version_steps),
                 now,
                 self._times['lease_s'],
                 self._times['hold_s'],
@@ -390,7 +365,7 @@
         suspect_s = self._times['suspect_s']
         members = {
             host: describe(entry, self._records.get(host), now - suspect_s)
-            for host, entry in sorted(self._entries.items())
+            for host, entry in sorted(self._lists.entries.items())
         }
         own = members.get(self._host)
         if own is not None:
@@ -413,11 +388,7 @@
             ``host:port`` by host name for the hosts of the cell in the
             current list and in older unsettled ones, without this host.
         """
-        addresses: dict[str, str] = {}
-        for revision in sorted(self._older):
-            addresses.update(_addresses(self._older[revision], self._cell))
-        if self._list is not None:
-            addresses.update(_addresses(self._list, self._cell))
+        addresses = self._lists.addresses()
         addresses.pop(self._host, None)
         overrides = self._settings['peer'].get('address_overrides', {})
         return {
@@ -444,15 +415,6 @@
             return False
         return self._started <= message['echo'] <= now
 
-    def _knows_all(self, revisions: list[int] | tuple[int, ...]) -> bool:
-        current = self._list['revision'] if self._list else 0
-        return all(
-            revision in self._older
-            or revision == current
-            or revision < self._settled_below
-            for revision in revisions
-        )
-
     def _same_bundle_or_older(self, statement: Statement) -> bool:
         version, digest = self._bundle
         if statement.bundle_version == version:
@@ -462,16 +424,14 @@
     def _backs_lease(self, statement: Statement) -> bool:
         return (
             statement.joined
-            and self._list is not None
-            and statement.list_revision <= self._list['revision']
+            and statement.list_revision <= self._lists.revision
             and self._same_bundle_or_older(statement)
         )
 
     def _is_adopted(self, statement: Statement) -> bool:
         return (
-            self._list is not None
-            and statement.list_revision <= self._list['revision']
-            and self._knows_all(statement.unsettled)
+            statement.list_revision <= self._lists.revision
+            and self._lists.knows_all(statement.unsettled)
             and self._same_bundle_or_older(statement)
         )
 
@@ -493,7 +453,7 @@
                 if self._host not in weights
                 or not holds_majority(weights, (self._host,))
                 else inf
-                for weights in self._weights.values()
+                for weights in self._lists.weights.values()
             ),
             default=-inf,
         )
@@ -525,7 +485,7 @@
 
     def _refresh(self, now: float) -> None:
         self._evidence_end = None
-        for step in self._list_steps:
+        for step in self._lists.steps:
             if step.unknown_between:
                 step.doubt(self._doubt_from_list(step.older, now))
         for step in self._version_steps:
@@ -549,9 +509,9 @@
         return hosts
 
     def _confirm_lists(self, now: float) -> None:
-        if not self._list_steps or self._list is None:
+        if not self._lists.steps:
             return
-        current = self._list['revision']
+        current = self._lists.revision
         hosts = self._confirming(
             lambda statement: (
                 statement.released
@@ -565,17 +525,17 @@
         )
         if self._leaving:
             hosts.add(self._host)
-        for step in self._list_steps:
-            confirmed = hosts | self._fenced_after(step.older)
-            if holds_majority(self._weights[step.older], confirmed):
+        for step in self._lists.steps:
+            confirmed = hosts | self._lists.fenced_after(step.older)
+            if holds_majority(self._lists.weights[step.older], confirmed):
                 step.confirm(now)
 
     def _confirm_versions(self, now: float) -> None:
         for step in self._version_steps:
             hosts = self._confirming(self._confirms_version(step), now)
-            if self._list is not None and all(
+            if self._lists.weights and all(
                 holds_majority(weights, hosts)
-                for weights in self._weights.values()
+                for weights in self._lists.weights.values()
             ):
                 step.confirm(now)
 
@@ -586,39 +546,15 @@
             and self._is_adopted(statement)
         )
 
-    def _fenced_after(self, revision: int) -> set[str]:
-        later = [
-            host_list
-            for key, host_list in self._older.items()
-            if key > revision
-        ]
-        if self._list is not None:
-            later.append(self._list)
-        return {
-            entry['host']
-            for host_list in later
-            for entry in host_list['hosts']
-            if entry['state'] == 'fenced'
-        }
-
     def _settle(self, now: float) -> None:
-        if not self._list_steps and not self._version_steps:
-            return
         hold_s = self._times['hold_s']
-        kept = unsettled(self._list_steps, now, hold_s)
-        if len(kept) != len(self._list_steps):
-            self._forget_settled_lists(kept)
-        self._list_steps = kept
-        self._version_steps = unsettled(self._version_steps, now, hold_s)
-
-    def _forget_settled_lists(self, kept: list[Step]) -> None:
-        remaining = {step.older for step in kept}
-        for revision in sorted(self._older):
-            if revision not in remaining:
-                self._older.pop(revision)
-                self._weights.pop(revision)
-                self._settled_below = max(self._settled_below, revision + 1)
-        listed = self.peer_addresses().keys() | self._entries.keys()
+        if self._lists.steps and self._lists.settle(now, hold_s):
+            self._forget_unlisted()
+        if self._version_steps:
+            self._version_steps = unsettled(self._version_steps, now, hold_s)
+
+    def _forget_unlisted(self) -> None:
+        listed = self._lists.addresses().keys() | self._lists.entries.keys()
         self._records = {
             host: record
             for host, record in self._records.items()
@@ -626,34 +562,16 @@
         }
         self._evidence_end = None
 
-    def _add_older(self, host_list: HostList) -> None:
-        revision = host_list['revision']
-        if self._list is None or self._knows_all((revision,)):
-            return
-        if revision > self._list['revision']:
-            return
-        self._older[revision] = host_list
-        self._weights[revision] = list_weights(host_list, self._cell)
-        self._list_steps.append(
-            Step(
-                older=revision,
-                successor=self._list['revision'],
-                unknown_between=False,
-                doubt_from=-inf,
-            )
-        )
-        self._evidence_end = None
-
     # Joining
 
     def _joins(self, now: float) -> bool:
-        if self._list is None or self._host not in self._entries:
+        if self._host not in self._lists.entries:
             return False
         times = self._times
         joining = Joining(
             electorates=(
-                self._weights[self._list['revision']].keys(),
-                _addresses(self._list, self._cell).keys(),
+                self._lists.current_weights.keys(),
+                self._lists.unfenced(),
             ),
             host=self._host,
             uptime_s=now - self._started,
@@ -679,8 +597,6 @@
     def _is_acknowledged(self, now: float) -> bool:
         # A process that a newer one has replaced still hears from peers that
         # do not know it yet; without a majority it must not vouch for them.
-        if self._list is None:
-            return False
         oldest = now - self._times['suspect_s']
         heard = {
             host
@@ -688,16 +604,8 @@
             if record.heard_at >= oldest
         }
         heard.add(self._host)
-        return holds_majority(self._weights[self._list['revision']], heard)
+        return holds_majority(self._lists.current_weights, heard)
 
 
 def _revision(host_list: HostList) -> int:
     return host_list['revision']
-
-
-def _addresses(host_list: HostList, cell: str) -> Mapping[str, str]:
-    return {
-        host: entry['peer_address']
-        for host, entry in cell_entries(host_list, cell).items()
-        if entry['state'] != 'fenced'
-    }
--- a/tests/test_rate_invariant.py
+++ b/tests/test_rate_invariant.py
@@ -171,6 +171,6 @@
     derandomize=True,
     database=None,
     deadline=None,
-    max_examples=150,
+    max_examples=250,
     stateful_step_count=10,
 )
