--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -7,7 +7,7 @@
 import socket
 
 import pytest
-from hypothesis import given, settings
+from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
 from bench.faulty_target import (
@@ -127,6 +127,8 @@
 
 
 @settings(max_examples=150, deadline=None)
+@example(method='POST', steps=1, delay=0, leaves=False, limit=64)
+@example(method='POST', steps=1, delay=0, leaves=True, limit=64)
 @given(
     method=st.sampled_from(['GET', 'POST']),
     steps=st.integers(0, 30),
--- a/tests/test_scrub.py
+++ b/tests/test_scrub.py
@@ -5,7 +5,7 @@
 from urllib.parse import quote, unquote_to_bytes
 
 import pytest
-from hypothesis import assume, given
+from hypothesis import assume, example, given
 from hypothesis import strategies as st
 
 from oleanderridge.forward.scrub import InboundRequest, scrub
@@ -75,6 +75,9 @@
     yield request.body
 
 
+@example(
+    key='>>>???~~~>>>???', carrier='bearer', places=[('header', 'url safe')]
+)
 @given(
     key=keys,
     carrier=carriers,
