--- a/tests/test_service_health.py
+++ b/tests/test_service_health.py
@@ -166,3 +166,13 @@
     """Guards against ejection because callers had little time left."""
     _fail(health, 't1', ('h0', 'h1', 'h2') * 3, 3, 'timeout')
     assert 't1' in _names(health, 3)
+
+
+def test_changed_thresholds_start_without_old_evidence(health):
+    """Guards against scores that were bounded by thresholds of the past."""
+    _fail(health, 't1', ('h0', 'h1'), 3)
+    health.update(_service(6, consecutive_failures=2), 3)
+    _fail(health, 't1', ('h2',), 3)
+    assert 't1' in _names(health, 3)
+    _fail(health, 't1', ('h0',), 3)
+    assert 't1' not in _names(health, 3)
