--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -13,21 +13,18 @@
 }
 
 
-@pytest.fixture
-def make_service():
-    def make(targets=1, slots=2, health_path='/health', **policy):
-        return {
-            'name': 'sett-lookup',
-            'targets': [
-                {'name': f't{index}', 'url': '', 'slots': slots, 'zone': 'a'}
-                for index in range(targets)
-            ],
-            'timeout_ms': 10000,
-            'health_path': health_path,
-            'health': {**POLICY, **policy},
-        }
-
-    return make
+def build_service(targets=1, **policy):
+    """Return a service with targets t0, t1 and so on."""
+    return {
+        'name': 'sett-lookup',
+        'targets': [
+            {'name': f't{index}', 'url': '', 'slots': 2, 'zone': 'a'}
+            for index in range(targets)
+        ],
+        'timeout_ms': 10000,
+        'health_path': '/health',
+        'health': {**POLICY, **policy},
+    }
 
 
 @pytest.fixture
--- a/tests/test_broker.py
+++ b/tests/test_broker.py
@@ -4,8 +4,11 @@
 from typing import NamedTuple
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from oleanderridge.dispatch.broker import Broker, broker_host
+from tests.conftest import build_service
 
 
 class Member(NamedTuple):
@@ -48,9 +51,9 @@
 
 
 @pytest.fixture
-def broker(settings, make_service):
+def broker(settings):
     broker = Broker(settings, Random(1))
-    broker.configure([make_service()], (), 0)
+    broker.configure([build_service()], (), 0)
     return broker
 
 
@@ -67,19 +70,19 @@
     assert freed[0].message['request_id'] == 'r2'
 
 
-def test_a_free_slot_elsewhere_does_not_overcommit(settings, make_service):
+def test_a_free_slot_elsewhere_does_not_overcommit(settings):
     """Guards against a third permit on a target while another is free."""
     broker = Broker(settings, Random(1))
-    broker.configure([make_service(2)], (), 0)
+    broker.configure([build_service(2)], (), 0)
     for number in range(2):
         broker.on_request(_request(f'r{number}', excluded=['t1']), 0)
     waiting = broker.on_request(_request('r2', excluded=['t1']), 0)
     assert _kinds(waiting) == ['permit_queued']
 
 
-def test_a_new_target_receives_little_at_first(broker, make_service):
+def test_a_new_target_receives_little_at_first(broker):
     """Guards against full load on a target that is still cold."""
-    broker.configure([make_service(2)], (), 100)
+    broker.configure([build_service(2)], (), 100)
     picked = []
     for number in range(200):
         request = _request(f'r{number}')
@@ -160,3 +163,53 @@
         gone[index] = gone[index]._replace(**change)
         assert broker_host('sett-lookup', gone) != chosen
     assert broker_host('sett-lookup', []) is None
+
+
+_STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(['request', 'cancel', 'return', 'tick', 'configure']),
+        st.integers(0, 7),
+        st.sampled_from(['ok', 'reset', 'draining', 'shed', 'unused']),
+        st.sampled_from([0.0, 0.05, 3.0]),
+    ),
+    max_size=80,
+)
+
+
+@given(_STEPS)
+def test_permits_never_exceed_slots_whatever_arrives(steps):
+    """Guards against slots that leak or double under odd message orders."""
+    settings = {
+        'host': 'h0',
+        'zone': 'a',
+        'dispatch': {'queue_limit_per_workspace': 3, 'permit_margin_s': 1},
+    }
+    broker = Broker(settings, Random(1))
+    broker.configure([build_service(3)], (), 0)
+    now = 0.0
+    grants = {}
+    for action, number, outcome, pause in steps:
+        now += pause
+        request = _request(f'r{number}', f'w{number % 3}', 4000)
+        outgoing = []
+        if action == 'request':
+            outgoing = broker.on_request(request, now)
+        elif action == 'cancel':
+            outgoing = broker.on_cancel(request, now)
+        elif action == 'return' and f'r{number}' in grants:
+            grant = grants[f'r{number}']
+            outgoing = broker.on_return(_return(grant, outcome), now)
+        elif action == 'tick':
+            outgoing = broker.tick(now)
+        elif action == 'configure':
+            leaving = ('t0',) if number % 2 else ()
+            outgoing = broker.configure([build_service(3)], leaving, now)
+        for item in outgoing:
+            if item.message['kind'] == 'permit_grant':
+                grants[item.message['request_id']] = item.message
+        assert broker.snapshot(now)[0]['permits'] <= 6
+    for _ in range(3):
+        now += 20
+        broker.tick(now)
+    assert broker.snapshot(now)[0]['permits'] == 0
+    assert broker.snapshot(now)[0]['queued'] == 0
--- a/tests/test_independent.py
+++ b/tests/test_independent.py
@@ -5,12 +5,13 @@
 import pytest
 
 from oleanderridge.dispatch.independent import IndependentDispatch
+from tests.conftest import build_service
 
 
 @pytest.fixture
-def dispatch(settings, make_service):
+def dispatch(settings):
     dispatch = IndependentDispatch(settings, Random(1))
-    dispatch.configure([make_service(6)], ('t3',), 0)
+    dispatch.configure([build_service(6)], ('t3',), 0)
     return dispatch
 
 
--- a/tests/test_service_health.py
+++ b/tests/test_service_health.py
@@ -5,24 +5,11 @@
 from hypothesis import strategies as st
 
 from oleanderridge.health.service import Flight, ServiceHealth
-from tests.conftest import POLICY
+from tests.conftest import build_service
 
 ZONES = {'h0': 'a', 'h1': 'b', 'h2': 'c', 'h3': 'a'}
 
 
-def _service(targets, **policy):
-    return {
-        'name': 'sett-lookup',
-        'targets': [
-            {'name': f't{index}', 'url': '', 'slots': 2, 'zone': 'a'}
-            for index in range(targets)
-        ],
-        'timeout_ms': 10000,
-        'health_path': '/health',
-        'health': {**POLICY, **policy},
-    }
-
-
 def _answers(health, targets, rounds, start=0.0, latency_ms=50.0):
     """Let every host see good answers of every target."""
     for number in range(rounds):
@@ -45,7 +32,7 @@
 
 @pytest.fixture
 def health():
-    health = ServiceHealth(_service(6))
+    health = ServiceHealth(build_service(6))
     _answers(health, [f't{index}' for index in range(6)], 20)
     return health
 
@@ -68,7 +55,9 @@
 @given(_REPORTS, st.sampled_from([0.3, 0.6, 1.0]))
 def test_the_floor_holds_at_every_pick(reports, floor):
     """Guards against ejections that take away more than the floor allows."""
-    health = ServiceHealth(_service(6, floor=floor, consecutive_failures=2))
+    health = ServiceHealth(
+        build_service(6, floor=floor, consecutive_failures=2)
+    )
     now = 0.0
     for host, index, outcome, latency_ms, pause, probe in reports:
         now += pause
@@ -118,7 +107,7 @@
     everyone = [f't{index}' for index in range(6)]
     _answers(health, everyone, 5, 3, 400)
     assert _names(health, 4) == set(everyone)
-    slow = ServiceHealth(_service(6))
+    slow = ServiceHealth(build_service(6))
     _answers(slow, everyone, 20)
     _answers(slow, ['t1'], 5, 3, 400)
     assert _names(slow, 4) == set(everyone) - {'t1'}
@@ -171,7 +160,7 @@
 def test_changed_thresholds_start_without_old_evidence(health):
     """Guards against scores that were bounded by thresholds of the past."""
     _fail(health, 't1', ('h0', 'h1'), 3)
-    health.update(_service(6, consecutive_failures=2), 3)
+    health.update(build_service(6, consecutive_failures=2), 3)
     _fail(health, 't1', ('h2',), 3)
     assert 't1' in _names(health, 3)
     _fail(health, 't1', ('h0',), 3)
