--- a/features/process_killed_host.feature
+++ b/features/process_killed_host.feature
@@ -15,3 +15,11 @@
       | home   |
       | host-c |
       | host-a |
+
+  Scenario: Slots that a killed host held are used again
+    Given a fleet of 3 hosts
+    And the targets hold what they start
+    When 6 lookups through host-c have started
+    And host-c is killed
+    And the targets go on
+    Then host-a answers lookups within 6 s
--- a/features/steps/process_steps.py
+++ b/features/steps/process_steps.py
@@ -278,6 +278,16 @@
     context.run(context.fleet.separate(hosts.split(' and ')))
 
 
+@when('{host} hears nothing from the other hosts')
+def when_deaf(context, host):
+    fleet = context.fleet
+    for sender in fleet.names:
+        if sender != host:
+            link = f'peer-{sender}-{host}'
+            silence = {'forward': {'silence': True}}
+            context.run(fleet.around.link_faults(link, **silence))
+
+
 @then('{host} refuses lookups as no-lease within {seconds:d} s')
 def then_no_lease(context, host, seconds):
     context.run(_until_reason(context, host, 'no-lease', seconds))
@@ -417,6 +427,29 @@
     await wait_until(started, 5, 'a target has started the order')
 
 
+@when('{count:d} lookups through {host} have started')
+def when_lookups_started(context, count, host):
+    context.run(_start_lookups(context, count, host))
+
+
+async def _start_lookups(context, count, host):
+    """Fill slots with lookups, sent again when there is no token yet."""
+    caller, address = context.callers[_FIRST], _direct(context, host)
+    context.waiting = [
+        asyncio.create_task(_send_admitted(context, caller, LOOKUP, address))
+        for _ in range(count)
+    ]
+
+    async def started():
+        running = 0
+        for target in context.fleet.plan.targets:
+            counts = await context.fleet.around.target_counts(target.name)
+            running += counts['running']
+        return running == count
+
+    await wait_until(started, 5, f'{count} lookups have started')
+
+
 @when('the targets go on')
 def when_released(context):
     context.run(_fault_targets(context, LOOKUP_SERVICE))
