--- a/oleanderridge/dispatch/broker.py
+++ b/oleanderridge/dispatch/broker.py
@@ -16,7 +16,12 @@
 )
 from oleanderridge.generated.settings import Settings
 from oleanderridge.health.evidence import LatencyAverage
-from oleanderridge.health.service import Candidate, Flight, ServiceHealth
+from oleanderridge.health.service import (
+    Candidate,
+    Flight,
+    ServiceHealth,
+    passed_over,
+)
 from oleanderridge.rendezvous import rendezvous_score
 from oleanderridge.wire import Outgoing
 
@@ -319,9 +324,10 @@
         if not free:
             return None
 
-        def load(candidate: Candidate) -> tuple[bool, float, float]:
+        def load(candidate: Candidate) -> tuple[bool, bool, float, float]:
             return (
                 candidate.forced,
+                passed_over(candidate, self._rng),
                 state.in_flight[candidate.target] / candidate.slots,
                 self._rng.random(),
             )
