--- a/oleanderridge/dispatch/broker.py
+++ b/oleanderridge/dispatch/broker.py
@@ -228,6 +228,8 @@
         """
         outgoing = []
         for state in self._state_by_service.values():
+            if not (state.permit_by_id or len(state.queue)):
+                continue
             for permit in tuple(state.permit_by_id.values()):
                 if now >= permit.expires_at:
                     _release(state, permit)
--- a/oleanderridge/runtime/bundles.py
+++ b/oleanderridge/runtime/bundles.py
@@ -256,6 +256,11 @@
         node.index = build_index(accepted.document)
         services = accepted.document['services']
         node.services_by_name = {entry['name']: entry for entry in services}
+        # Near capacity equal shares would refuse the large workspaces alone.
+        node.weight_by_workspace = {
+            entry['name']: entry['rate']
+            for entry in accepted.document['workspaces']
+        }
         node.url_by_target = {
             target['name']: target['url']
             for entry in services
--- a/oleanderridge/runtime/node.py
+++ b/oleanderridge/runtime/node.py
@@ -61,6 +61,7 @@
         self.index: AdmissionIndex | None = None
         self.services_by_name: dict[str, Service] = {}
         self.url_by_target: dict[str, str] = {}
+        self.weight_by_workspace: dict[str, float] = {}
         self.list_history: list[tuple[float, HostList]] = []
         self.handler_by_kind: dict[str, Callable[[Message], None]] = {}
         self.bundle_accepted_at = now
--- a/oleanderridge/runtime/refresh.py
+++ b/oleanderridge/runtime/refresh.py
@@ -21,7 +21,13 @@
     refresh_shares(node)
     leaving = node.membership.targets_leaving()
     services = list(node.services_by_name.values())
-    node.send_all(node.broker.configure(services, leaving, now) or ())
+    outgoing = node.broker.configure(
+        services,
+        leaving,
+        now,
+        node.weight_by_workspace,
+    )
+    node.send_all(outgoing)
     node.fallback.configure(services, leaving, now)
 
 
--- a/tests/test_broker.py
+++ b/tests/test_broker.py
@@ -165,13 +165,12 @@
     assert broker_host('sett-lookup', []) is None
 
 
-def test_a_service_slower_than_a_third_of_its_timeout_is_served(
-    settings, make_service
-):
+def test_a_service_slower_than_a_third_of_its_timeout_is_served(settings):
     """Guards against deadline refusals of every request, idle slots or not."""
     broker = Broker(settings, Random(1))
-    broker.configure([make_service()], (), 0)
-    timeout_ms = make_service()['timeout_ms']
+    service = build_service()
+    broker.configure([service], (), 0)
+    timeout_ms = service['timeout_ms']
     for number in range(20):
         (_queued, granted) = broker.on_request(_request(f's{number}'), 0)
         broker.on_return(_return(granted.message, latency_ms=timeout_ms / 2), 0)
