--- a/oleanderridge/runtime/admin_api.py
+++ b/oleanderridge/runtime/admin_api.py
@@ -83,7 +83,7 @@
         'bundle_digest': accepted.digest if accepted else None,
         'bundle_age_s': round(now - node.bundle_accepted_at, 3),
         'bundle_conflicts': list(node.store.conflicts),
-        'watching': node.watching,
+        'watching': node.membership.watching,
         'unsettled_revisions': [
             entry['revision'] for entry in node.membership.unsettled_lists(now)
         ],
--- a/oleanderridge/runtime/bundles.py
+++ b/oleanderridge/runtime/bundles.py
@@ -87,7 +87,7 @@
         await self._read_first(key, take)
         while True:
             if not self._elected():
-                self._node.watching = False
+                self._node.membership.watching = False
                 await asyncio.sleep(_ELECTION_CHECK_S)
                 continue
             await self._watch_once(key, take)
@@ -105,14 +105,14 @@
         after = self._revision_by_key.get(key, 0)
         outcome = await self._reader.watch(key, after)
         if isinstance(outcome, Err):
-            node.watching = False
+            node.membership.watching = False
             node.warn('platform-watch-failed', error=outcome.err_value)
             await asyncio.sleep(
                 node.settings['platform']['retry_s']
                 * node.rng.uniform(0.5, 1.5),
             )
             return
-        node.watching = True
+        node.membership.watching = True
         value = outcome.ok_value
         if value is not None:
             self._revision_by_key[key] = value.revision
--- a/oleanderridge/runtime/node.py
+++ b/oleanderridge/runtime/node.py
@@ -65,7 +65,6 @@
         self.list_history: list[tuple[float, HostList]] = []
         self.handler_by_kind: dict[str, Callable[[Message], None]] = {}
         self.bundle_accepted_at = now
-        self.watching = False
         self.leaving = False
         # Only names of the bundle are counted, so its size bounds this one.
         self.refusals_by_workspace: Counter[tuple[str, str]] = Counter()
--- a/oleanderridge/runtime/peering.py
+++ b/oleanderridge/runtime/peering.py
@@ -56,9 +56,7 @@
         for peer in peers:
             if peer == node.host:
                 continue
-            message = node.membership.heartbeat_for(peer, now)
-            message['watching'] = node.watching
-            node.send(peer, message)
+            node.send(peer, node.membership.heartbeat_for(peer, now))
         if node.membership.current_list() is None:
             self._ask_seeds()
 
