--- a/bench/host_cost.py
+++ b/bench/host_cost.py
@@ -2,7 +2,8 @@
 
 ``latency`` compares requests through hosts with direct calls in the same
 run; ``memory`` starts one host for each number of workspaces; ``control``
-counts peer bytes of idle fleets of different sizes.
+counts peer bytes of idle fleets of different sizes; ``growth`` takes one host
+to the two-year size of the bundle.
 """
 
 from __future__ import annotations
@@ -16,12 +17,12 @@
 import time
 from collections.abc import Callable
 from pathlib import Path
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from aiohttp import ClientSession, TCPConnector
 
 from bench.demo import running_fleet
-from bench.fleet import Fleet
+from bench.fleet import Fleet, digest_of
 from bench.plans import (
     LOOKUP_SERVICE,
     LOOPBACK,
@@ -30,11 +31,18 @@
     target_plans,
     workspace_plans,
 )
+from bench.processes import wait_until
 
 _TICKS_PER_S = os.sysconf('SC_CLK_TCK')
 _PAGE_BYTES = os.sysconf('SC_PAGE_SIZE')
 _MB = 1024 * 1024
 _MS = 1000
+_WORKSPACES = 88_000
+_TARGETS = 22_000
+_SERVICES = 770
+_ROUTES = 11_000
+_GROWTH_S = 120
+_IDLE_S = 10
 _METRIC = re.compile(
     r'oleanderridge_peer_bytes_total\{[^}]*direction="(\w+)"[^}]*\} (\S+)',
 )
@@ -187,8 +195,10 @@
         proxied_ms.append(elapsed)
 
     before = _processor_s(fleet)
+    bytes_before = await _all_peer_bytes(fleet)
     await _open_loop(int(seconds * per_s * 2), per_s * 2, send)
     used = _processor_s(fleet) - before
+    peer_bytes = await _all_peer_bytes(fleet) - bytes_before
     middle, tail = quantiles(proxied_ms)
     direct_middle, direct_tail = quantiles(direct_ms)
     print(
@@ -198,7 +208,8 @@
         f' proxied_p50_ms={middle:.2f} proxied_p99_ms={tail:.2f}'
         f' added_p50_ms={middle - direct_middle:.2f}'
         f' added_p99_ms={tail - direct_tail:.2f}'
-        f' processor_ms_per_request={used / len(proxied_ms) * _MS:.2f}',
+        f' processor_ms_per_request={used / len(proxied_ms) * _MS:.2f}'
+        f' peer_bytes_per_request={peer_bytes / len(proxied_ms):.0f}',
     )
 
 
@@ -244,6 +255,14 @@
     )
 
 
+async def _all_peer_bytes(fleet: Fleet) -> float:
+    sent = [
+        (await _peer_bytes(fleet, name))['out']
+        for name in fleet.plan.zone_by_host
+    ]
+    return sum(sent)
+
+
 def _pid(fleet: Fleet, name: str) -> int:
     running = fleet.around.processes.by_name[name]
     return running.process.pid
@@ -291,6 +310,84 @@
         )
 
 
+def _add_workspaces(document: dict[str, Any]) -> None:
+    document['workspaces'].extend(
+        {
+            'name': f'added-{index}',
+            'rate': 10,
+            'burst': 20,
+            'key_hashes': [digest_of(f'added-key-{index}')],
+        }
+        for index in range(_WORKSPACES)
+    )
+
+
+def _add_services(document: dict[str, Any]) -> None:
+    for service in range(_SERVICES):
+        targets = [
+            {
+                'name': f'added-{service}-{index}',
+                'url': f'http://127.{service // 200 + 1}.{service % 200}.'
+                f'{index + 1}:8080',
+                'zone': f'zone-{index % 3}',
+            }
+            for index in range(_TARGETS // _SERVICES)
+        ]
+        document['services'].append(
+            {
+                'name': f'added-{service}',
+                'targets': targets,
+            }
+        )
+
+
+def _add_routes(document: dict[str, Any]) -> None:
+    document['routes'].extend(
+        {
+            'prefix': f'/added-{index}',
+            'service': f'added-{index % _SERVICES}',
+        }
+        for index in range(_ROUTES)
+    )
+
+
+def _change_rate(document: dict[str, Any]) -> None:
+    document['workspaces'][0]['rate'] += 1
+
+
+async def measure_growth() -> None:
+    """Print memory and time to take over bundles of the two-year size."""
+    steps = (_add_workspaces, _add_services, _add_routes, _change_rate)
+    async with running_fleet(fleet_plan(1, 8, rate=100)) as fleet:
+        pid = _pid(fleet, 'host-00')
+        for step in steps:
+            before = process_sample(pid)
+            await fleet.change_bundle(step)
+            started = time.monotonic()
+            await _wait_version(fleet, fleet.document['version'])
+            in_force_s = time.monotonic() - started
+            after = process_sample(pid)
+            used = after.processor_s - before.processor_s
+            print(
+                f'growth step={step.__name__.lstrip("_")}'
+                f' resident_mb={after.resident / _MB:.1f}'
+                f' added_mb={(after.resident - before.resident) / _MB:.1f}'
+                f' in_force_s={in_force_s:.2f} processor_s={used:.2f}',
+                flush=True,
+            )
+        before_s = process_sample(pid).processor_s
+        await asyncio.sleep(_IDLE_S)
+        used = process_sample(pid).processor_s - before_s
+        print(f'growth step=idle processor_share={used / _IDLE_S:.4f}')
+
+
+async def _wait_version(fleet: Fleet, version: int) -> None:
+    async def accepted() -> bool:
+        return (await fleet.status('host-00'))['bundle_version'] == version
+
+    await wait_until(accepted, _GROWTH_S, f'version {version}')
+
+
 async def _peer_bytes(fleet: Fleet, host: str) -> dict[str, float]:
     text = await fleet.metrics(host)
     return {
@@ -300,7 +397,9 @@
 
 def _parse(arguments: list[str] | None) -> argparse.Namespace:
     parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument('what', choices=('latency', 'memory', 'control'))
+    parser.add_argument(
+        'what', choices=('latency', 'memory', 'control', 'growth')
+    )
     parser.add_argument('--seconds', type=float, default=20)
     parser.add_argument('--per-host', type=float, default=70)
     parser.add_argument('--counts', type=int, nargs='+')
@@ -320,6 +419,8 @@
         work = measure_latency(options.seconds, options.per_host)
     elif options.what == 'memory':
         work = measure_memory(options.counts or [100, 1000, 10000])
+    elif options.what == 'growth':
+        work = measure_growth()
     else:
         work = measure_control(options.counts or [3, 12, 36], options.seconds)
     asyncio.run(work)
