--- a/bench/demo.py
+++ b/bench/demo.py
@@ -20,7 +20,7 @@
 from pathlib import Path
 from typing import NamedTuple
 
-from aiohttp import ClientSession, ClientTimeout
+from aiohttp import ClientError, ClientSession, ClientTimeout
 
 from bench.fleet import Fleet
 from bench.load import (
@@ -39,6 +39,7 @@
 LOAD_S = 40
 _STOP_S = 25
 _CONTROL_S = 10
+_LOG_LINES = 20
 _LIMPING = 'target-0'
 _NOISY = 'workspace-a'
 # A workspace usually offers half its rate, so this is four times the rate.
@@ -127,7 +128,7 @@
     _show(f'{_NOISY} sends {_NOISY_FACTOR} times its usual load')
     signalled_at = time.monotonic()
     _show(f'{_STOPPED} gets SIGTERM')
-    status = await fleet.stop_host(_STOPPED, _STOP_S)
+    status = await _stop(fleet)
     taken = time.monotonic() - signalled_at
     _show(f'{_STOPPED} ended with status {status} after {taken:.1f} s')
     fleet.listed.pop(_STOPPED)
@@ -142,6 +143,23 @@
     return Stop(signalled_at, status)
 
 
+async def _stop(fleet: Fleet) -> int:
+    """Stop a host gracefully; one that does not end is shown and killed."""
+    try:
+        return await fleet.stop_host(_STOPPED, _STOP_S)
+    except TimeoutError:
+        _show(f'{_STOPPED} has not ended after {_STOP_S} s')
+    log = fleet.around.processes.by_name[_STOPPED].text()
+    for line in log.splitlines()[-_LOG_LINES:]:
+        _show(line)
+    try:
+        _show(f'live: {await fleet.live_requests(_STOPPED)}')
+    except (ClientError, TimeoutError) as error:
+        _show(f'its administration interface fails: {error!r}')
+    await fleet.kill_host(_STOPPED)
+    return -1
+
+
 async def leaked_keys(fleet: Fleet) -> int:
     """Return how many executions carried a caller's key to a target."""
     leaks = 0
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -321,6 +321,14 @@
             response.raise_for_status()
             return await response.text()
 
+    async def live_requests(self, host: str) -> list[str]:
+        """Return the metrics lines about requests that are not finished."""
+        url = f'http://{LOOPBACK}:{self.ports[host].admin}/metrics'
+        headers = {'Authorization': f'Bearer {_ADMIN_TOKEN}'}
+        async with self.around.session.get(url, headers=headers) as response:
+            lines = (await response.text()).splitlines()
+        return [line for line in lines if 'live_requests' in line]
+
     async def wait_serving(self, host: str, timeout_s: float = START_S) -> None:
         """Wait until a host answers a keyed request.
 
