End a stopping host, free slots of silent hosts, report failed tasks

Permits of a killed host kept its slots for seconds. A failed task ended a host with status 0. Change: the transport is closed before tasks are cancelled; the broker drops requests and permits of hosts that are not alive; status 1 after a failed task.

--- a/oleanderridge/commands/serve.py
+++ b/oleanderridge/commands/serve.py
@@ -16,7 +16,8 @@
   oleanderridge serve --settings /run/oleanderridge/host.yaml
 
 exit status:
-  0 after a graceful shutdown, 1 when the settings have findings
+  0 after a graceful shutdown, 1 when the settings have findings or a task
+  of the host failed
 """
 
 
--- a/oleanderridge/dispatch/broker.py
+++ b/oleanderridge/dispatch/broker.py
@@ -255,6 +255,35 @@
             outgoing.extend(self._dispatch(state, now))
         return outgoing
 
+    def keep_hosts(self, hosts: Collection[str], now: float) -> list[Outgoing]:
+        """Drop the requests and permits of all other hosts.
+
+        The slots of a killed host would otherwise stay taken for the life of
+        its permits, seconds in which all workspaces wait.
+
+        Parameters
+        ----------
+        hosts : collection of str
+            Hosts that are alive in the view.
+        now : float
+            Monotonic seconds.
+
+        Returns
+        -------
+        list of Outgoing
+            Grants of the freed slots.
+        """
+        outgoing = []
+        for state in self._state_by_service.values():
+            for waiting in tuple(state.queue.in_order()):
+                if waiting.host not in hosts:
+                    state.queue.remove((waiting.host, waiting.request_id))
+            for permit in tuple(state.permit_by_id.values()):
+                if permit.host not in hosts:
+                    _release(state, permit)
+            outgoing.extend(self._dispatch(state, now))
+        return outgoing
+
     def hand_back(self, now: float) -> list[Outgoing]:
         """Refuse all queued requests, and every later one."""
         self._handed_back = True
--- a/oleanderridge/runtime/host.py
+++ b/oleanderridge/runtime/host.py
@@ -59,6 +59,8 @@
         self._stopping = asyncio.Event()
         self._tasks: set[asyncio.Task] = set()
         self._servers: tuple[LoopServer, ...] = ()
+        self._failed = False
+        self._receiving: asyncio.Task | None = None
 
     async def run(self) -> int:
         """Serve until SIGTERM, SIGINT or a drain request.
@@ -66,7 +68,8 @@
         Returns
         -------
         int
-            Exit status: 0 after a graceful shutdown.
+            Exit status: 0 after a graceful shutdown, 1 when it began
+            because a task of the host failed.
         """
         node = self.node
         loop = asyncio.get_running_loop()
@@ -76,7 +79,7 @@
         node.connect_peers()
         await self._client.open()
         self._servers = self._make_servers()
-        self._start(node.transport.receive_forever())
+        self._receiving = self._start(node.transport.receive_forever())
         self._start(self._peering.run())
         self._start(self._bundles.run())
         self._start(self._tick())
@@ -90,8 +93,8 @@
             server.should_exit = True
         await asyncio.gather(*serving)
         await self._close()
-        node.note('host-stopped')
-        return 0
+        node.note('host-stopped', failed=self._failed)
+        return int(self._failed)
 
     def _ports(self) -> Ports:
         node = self.node
@@ -143,6 +146,7 @@
         if task.cancelled() or task.exception() is None:
             return
         _LOGGER.error('task-failed', exc_info=task.exception())
+        self._failed = True
         self._stopping.set()
 
     async def _tick(self) -> None:
@@ -158,9 +162,15 @@
     async def _tick_shares(self) -> None:
         while True:
             refresh_shares(self.node)
+            self._release_silent_hosts()
             self.node.register.expire(self.node.clock())
             await asyncio.sleep(_SHARES_TICK_S)
 
+    def _release_silent_hosts(self) -> None:
+        node = self.node
+        alive = [member.host for member in node.members() if member.alive]
+        node.send_all(node.broker.keep_hosts(alive, node.clock()))
+
     async def _drain(self) -> None:
         node = self.node
         node.leaving = True
@@ -182,10 +192,12 @@
             await asyncio.sleep(_DRAIN_POLL_S)
 
     async def _close(self) -> None:
+        self.node.transport.close()
+        if self._receiving is not None:
+            await self._receiving
         for task in tuple(self._tasks):
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
-        self.node.transport.close()
         await self._client.close()
         await self._reader.close()
 
--- a/oleanderridge/runtime/transport.py
+++ b/oleanderridge/runtime/transport.py
@@ -64,7 +64,11 @@
         )
 
     async def receive_forever(self) -> None:
-        """Deliver messages until the transport is closed."""
+        """Deliver messages until the transport is closed.
+
+        Close the transport to end this: pynng drops a cancellation that
+        meets an arriving message, and the next receive would wait for ever.
+        """
         if self._inbound is None:
             return
         while True:
--- a/tests/test_broker.py
+++ b/tests/test_broker.py
@@ -230,3 +230,15 @@
         broker.tick(now)
     assert _permits(broker, now) == 0
     assert not any(row['queued'] for row in broker.snapshot(now))
+
+
+def test_slots_of_a_silent_host_are_freed(broker):
+    """Guards against a killed host that holds slots for seconds."""
+    for number in range(3):
+        broker.on_request({**_request(f'd{number}'), 'host': 'dead'}, 0)
+    broker.on_request(_request('alive'), 0)
+    outgoing = broker.keep_hosts(['h1'], 1)
+    assert [(item.host, item.message['kind']) for item in outgoing] == [
+        ('h1', 'permit_grant')
+    ]
+    assert _permits(broker, 1) == 1
