--- a/bench/forward_host.py
+++ b/bench/forward_host.py
@@ -27,6 +27,7 @@
         'attempts_max': 3,
         'key_lifetime_s': 600,
         'keys_max': 100_000,
+        'workspace_keys_max': 100_000,
         'stored_answer_limit_bytes': 4096,
     },
 }
--- a/oleanderridge/forward/idempotency.py
+++ b/oleanderridge/forward/idempotency.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import re
+from collections import Counter
 from heapq import heappop, heappush
 from typing import Final, NamedTuple
 
@@ -152,8 +153,10 @@
         self._started = started
         self._lifetime = forward['key_lifetime_s']
         self._keys_max = forward['keys_max']
+        self._workspace_keys_max = forward['workspace_keys_max']
         self._answer_limit = forward['stored_answer_limit_bytes']
         self._records: dict[tuple[str, str], _Record] = {}
+        self._count_by_workspace: Counter[str] = Counter()
         self._expiries: list[tuple[float, tuple[str, str]]] = []
 
     def __len__(self) -> int:
@@ -192,7 +195,7 @@
         if record is not None:
             return self._repeated(message, record)
         state, expires_at = self._unseen(message, now, home_since, leased)
-        if state == CLAIMED and len(self._records) >= self._keys_max:
+        if state == CLAIMED and self._is_full(message['workspace']):
             state = FULL
         if state == CLAIMED:
             self._add(message, expires_at)
@@ -216,7 +219,7 @@
         if record.state != IN_PROGRESS:
             return
         if message['state'] == NOT_RUN:
-            self._records.pop(name)
+            self._forget(name)
             return
         record.state = OUTCOME_UNKNOWN
         answer = message.get('answer')
@@ -247,7 +250,7 @@
             if record is None:
                 continue
             if record.expires_at <= now:
-                self._records.pop(name)
+                self._forget(name)
             else:
                 heappush(self._expiries, (record.expires_at, name))
 
@@ -283,8 +286,23 @@
         self._records[name] = _Record(
             message['claim_id'], message['fingerprint'], expires_at
         )
+        self._count_by_workspace[message['workspace']] += 1
         heappush(self._expiries, (expires_at, name))
 
+    def _forget(self, name: tuple[str, str]) -> None:
+        workspace, _ = name
+        self._records.pop(name)
+        self._count_by_workspace[workspace] -= 1
+        if not self._count_by_workspace[workspace]:
+            self._count_by_workspace.pop(workspace)
+
+    def _is_full(self, workspace: str) -> bool:
+        count = self._count_by_workspace.get(workspace, 0)
+        return (
+            len(self._records) >= self._keys_max
+            or count >= self._workspace_keys_max
+        )
+
 
 def _is_bound(key: str) -> bool:
     parsed = parse_key(key)
--- a/tests/test_idempotency.py
+++ b/tests/test_idempotency.py
@@ -17,6 +17,7 @@
     'forward': {
         'key_lifetime_s': LIFETIME,
         'keys_max': 4,
+        'workspace_keys_max': 4,
         'stored_answer_limit_bytes': 8,
     },
 }
@@ -196,6 +197,22 @@
     assert register.claim(fresh, 10, -100, True)['state'] == 'claimed'
 
 
+def test_one_workspace_leaves_room_for_others():
+    """Guards against a workspace whose orders block those of all others."""
+    forward = {**SETTINGS['forward'], 'workspace_keys_max': 2}
+    register = KeyRegister({**SETTINGS, 'forward': forward}, 1, -100)
+    states = [
+        register.claim(claim_message(f'k{n}', f'c{n}'), 0, -100, True)['state']
+        for n in range(3)
+    ]
+    assert states == ['claimed', 'claimed', 'full']
+    other = claim_message('k9', 'c9', workspace='shop')
+    assert register.claim(other, 0, -100, True)['state'] == 'claimed'
+    register.complete(outcome_message('k0', 'c0', 'not-run'), 0)
+    again = claim_message('k3', 'c3')
+    assert register.claim(again, 0, -100, True)['state'] == 'claimed'
+
+
 def test_completion_extends_a_plain_key():
     """Guards against forgetting an order soon after it has ended."""
     register = KeyRegister(SETTINGS, 1, -100)
