--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -59,6 +59,7 @@
         self.listed = dict.fromkeys(plan.zone_by_host, 'live')
         self.targets_leaving: list[str] = []
         self.revision = 0
+        self.lists: list[bytes] = []
         self.keypair = signing.generate_keypair()
         self.document: dict[str, Any] = {}
         self.manifest: Any = None
@@ -108,7 +109,7 @@
             LOOKUP_SERVICE: self.plan.timeout_ms,
             CHART_SERVICE: self.plan.chart_timeout_ms,
         }
-        services = [
+        services: list[dict[str, Any]] = [
             {
                 'name': service,
                 'timeout_ms': timeout_ms,
@@ -127,6 +128,9 @@
             }
             for service, timeout_ms in timeouts.items()
         ]
+        if self.plan.echo_header:
+            for service in services:
+                service['echo_header'] = self.plan.echo_header
         return {
             'version': 0,
             'parent': '',
@@ -210,7 +214,9 @@
             'hosts': hosts,
             'targets_leaving': self.targets_leaving,
         }
-        await self.around.set_value('hosts', json.dumps(listed).encode())
+        content = json.dumps(listed).encode()
+        self.lists.append(content)
+        await self.around.set_value('hosts', content)
 
     async def target_leaving(self, target: str) -> None:
         """List a target as leaving."""
--- a/bench/plans.py
+++ b/bench/plans.py
@@ -37,7 +37,8 @@
 
     ``spares`` are hosts that have ports and links but are neither started
     nor listed. ``settings`` holds sections that are merged into the
-    settings of every host, ``health`` the thresholds of every service.
+    settings of every host, ``health`` the thresholds of every service, and
+    ``echo_header`` names the header in which targets repeat request ids.
     """
 
     zone_by_host: dict[str, str]
@@ -50,6 +51,7 @@
     timeout_ms: int = 3000
     chart_timeout_ms: int = 60_000
     buffer_limit_bytes: int = 65_536
+    echo_header: str = ''
 
 
 # Short times keep scenarios short; the order lease < hold and the ratio of
--- a/bench/surroundings.py
+++ b/bench/surroundings.py
@@ -112,9 +112,9 @@
         """Replace the faults of a target."""
         await self.call('PUT', f'{self._target(name)}/faults', json=faults)
 
-    async def target_drain(self, name: str) -> None:
-        """Start draining a target."""
-        await self.call('POST', f'{self._target(name)}/drain/on')
+    async def target_drain(self, name: str, state: str = 'on') -> None:
+        """Start (``on``) or end (``off``) draining a target."""
+        await self.call('POST', f'{self._target(name)}/drain/{state}')
 
     async def target_counts(self, name: str) -> Any:
         """Return the counts of a target."""
