--- a/bench/chaos_judge.py
+++ b/bench/chaos_judge.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from bisect import insort
 from collections import defaultdict
 from collections.abc import Iterable, Sequence
 from typing import Any, NamedTuple
@@ -147,6 +148,20 @@
             )
 
 
+def _allowed(published: Sequence[Published], since: float, to: float) -> float:
+    """Return how many admissions a window allows at most.
+
+    The largest rate and the largest burst that can be in force count.
+    """
+    force = [
+        one
+        for one in published
+        if one.since <= to and one.until + ROLL_OUT_S >= since
+    ]
+    rate = max(one.rate for one in force)
+    return rate * (to - since) + max(one.burst for one in force)
+
+
 def rate_findings(
     name: str, starts: Sequence[float], published: Sequence[Published]
 ) -> list[str]:
@@ -165,22 +180,13 @@
     -------
     list of str
         At most one finding, for the window with the largest excess. Starts
-        in a window were admitted at most ``QUEUE_WAIT_S`` before it; the
-        largest rate and burst that were in force count.
+        in a window were admitted at most ``QUEUE_WAIT_S`` before it.
     """
     excess_max: float = 0
     finding = ''
     for first, opened in enumerate(starts):
-        since = opened - QUEUE_WAIT_S
         for count, closed in enumerate(starts[first:], 1):
-            force = [
-                one
-                for one in published
-                if one.since <= closed and one.until + ROLL_OUT_S >= since
-            ]
-            rate = max(one.rate for one in force)
-            burst = max(one.burst for one in force)
-            allowed = rate * (closed - since) + burst
+            allowed = _allowed(published, opened - QUEUE_WAIT_S, closed)
             if count - allowed > excess_max:
                 excess_max = count - allowed
                 finding = (
@@ -190,23 +196,78 @@
     return [finding] if finding else []
 
 
-def _rate_findings(
-    evidence: Evidence, workspaces: dict[str, str]
-) -> Iterable[str]:
+def admission_findings(
+    name: str,
+    spans: Sequence[tuple[float, float]],
+    published: Sequence[Published],
+) -> list[str]:
+    """Check the admissions of one workspace that surely fall in a window.
+
+    Parameters
+    ----------
+    name : str
+        The workspace.
+    spans : sequence of tuple
+        For every request when its caller sent it and when it started.
+    published : sequence of Published
+        All versions of its rate.
+
+    Returns
+    -------
+    list of str
+        At most one finding, for the window with the largest excess. A
+        request is admitted between the two moments, so one whose span lies
+        within a window was admitted in it; this needs no queue wait.
+    """
+    excess_max: float = 0
+    finding = ''
+    starts: list[float] = []
+    for since, started_at in sorted(spans, reverse=True):
+        insort(starts, started_at)
+        for count, closed in enumerate(starts, 1):
+            allowed = _allowed(published, since, closed)
+            if count - allowed > excess_max:
+                excess_max = count - allowed
+                finding = (
+                    f'{name}: {count} requests sent and started within '
+                    f'{closed - since:.2f} s, allowed {allowed:.1f}'
+                )
+    return [finding] if finding else []
+
+
+def _sent_at(operation: Operation, started_at: float) -> float:
+    """Return the earliest attempt that can have led to a start."""
+    return min(
+        (
+            attempt.started_at
+            for attempt in operation.attempts
+            if attempt.kind not in {'refused', 'unreachable'}
+        ),
+        default=started_at,
+    )
+
+
+def _rate_findings(evidence: Evidence) -> Iterable[str]:
+    by_id = {one.id: one for one in evidence.operations}
     # A host repeats idempotent requests under one id and one admission.
     first_start: dict[str, float] = {}
-    names: dict[str, str] = {}
+    operations: dict[str, str] = {}
     for record in evidence.records:
         request_id = record['request_id']
         started = record['started_at']
         known = first_start.get(request_id, started)
         first_start[request_id] = min(known, started)
-        names[request_id] = workspaces.get(record['operation'], '')
-    starts: defaultdict[str, list[float]] = defaultdict(list)
+        operations[request_id] = record['operation']
+    spans: defaultdict[str, list[tuple[float, float]]] = defaultdict(list)
     for request_id, started_at in first_start.items():
-        starts[names[request_id]].append(started_at)
+        operation = by_id.get(operations[request_id])
+        if operation is not None:
+            sent_at = _sent_at(operation, started_at)
+            spans[operation.workspace.name].append((sent_at, started_at))
     for name, published in evidence.rates.items():
-        yield from rate_findings(name, sorted(starts[name]), published)
+        starts = sorted(span[1] for span in spans[name])
+        yield from rate_findings(name, starts, published)
+        yield from admission_findings(name, spans[name], published)
 
 
 def _cut_by_stop(
@@ -269,6 +330,6 @@
         *_answer_findings(evidence),
         *_key_findings(evidence),
         *_withdrawal_findings(evidence, workspaces),
-        *_rate_findings(evidence, workspaces),
+        *_rate_findings(evidence),
         *_stop_findings(evidence),
     ]
--- a/tests/test_chaos.py
+++ b/tests/test_chaos.py
@@ -125,7 +125,10 @@
 
 
 def _above_rate():
-    operation = _answered(_operation(load.LOOKUP))
+    # Sent so early that only the bound with the queue wait is exceeded.
+    sent_at = _SINCE - chaos_judge.QUEUE_WAIT_S - 1
+    broken = _attempt('broken', started_at=sent_at, lasted_s=0.1)
+    operation = _answered(_operation(load.LOOKUP, broken))
     allowed = int(10 * chaos_judge.QUEUE_WAIT_S + 5)
     records = [
         _record(operation, f'request-{number}') for number in range(allowed + 1)
@@ -133,6 +136,12 @@
     return _evidence([operation], records)
 
 
+def _above_burst():
+    operation = _answered(_operation(load.LOOKUP))
+    records = [_record(operation, f'request-{index}') for index in range(6)]
+    return _evidence([operation], records)
+
+
 def _stop_failed():
     return _evidence([], [], stops=[chaos_judge.Stop('host-a', _SINCE, 1)])
 
@@ -154,6 +163,7 @@
         _key_shown,
         _ran_when_withdrawn,
         _above_rate,
+        _above_burst,
         _stop_failed,
         _stop_cut,
     ],
