--- a/bench/chaos_judge.py
+++ b/bench/chaos_judge.py
@@ -16,6 +16,9 @@
 # most); the target measures the rest of the deadline from the arrival, so
 # bytes that wait in a socket buffer can add the same time once more.
 QUEUE_WAIT_S = 6.0
+# The caller notes when it decides to send; connecting takes a moment more.
+_CONNECT_S = 0.1
+_CUT_KINDS = frozenset(('broken', 'timeout', 'unreachable'))
 _PENDING = float('inf')
 
 
@@ -279,9 +282,10 @@
     not counted, since a resolver that is cut off from the host does not
     learn of the stop.
     """
-    if attempt.host != stop.host or attempt.kind not in {'broken', 'timeout'}:
+    if attempt.host != stop.host or attempt.kind not in _CUT_KINDS:
         return False
-    if attempt.started_at > stop.signalled_at + evidence.resolve_ttl_s:
+    served_until = stop.signalled_at + evidence.resolve_ttl_s - _CONNECT_S
+    if attempt.started_at > served_until:
         return False
     if attempt.ended_at < stop.signalled_at:
         return False
--- a/tests/test_chaos.py
+++ b/tests/test_chaos.py
@@ -152,6 +152,12 @@
     return _evidence([operation], [], stops=stops)
 
 
+def _stop_too_early():
+    operation = _operation(load.LOOKUP, _attempt('unreachable'))
+    stops = [chaos_judge.Stop('host-a', _SINCE - 1, 0)]
+    return _evidence([operation], [], stops=stops)
+
+
 @pytest.mark.parametrize(
     'broken',
     [
@@ -166,6 +172,7 @@
         _above_burst,
         _stop_failed,
         _stop_cut,
+        _stop_too_early,
     ],
 )
 def test_each_violation_is_found(broken):
