Leave out the queue notice that a grant follows at once

Cause: each brokered attempt took four messages, of which the notice of queueing told nothing when the grant came with it. Change: the notice is not sent then; the broker's decisions are as before.

--- a/oleanderridge/runtime/permits.py
+++ b/oleanderridge/runtime/permits.py
@@ -17,7 +17,7 @@
 )
 from oleanderridge.refusals import Refusal, refuse
 from oleanderridge.runtime.node import Node
-from oleanderridge.wire import Message
+from oleanderridge.wire import Message, Outgoing
 
 _MS_PER_S = 1000
 # A queued request is repeated so that a new broker learns of it and a lost
@@ -274,7 +274,8 @@
             'permit_cancel': node.broker.on_cancel,
             'permit_return': node.broker.on_return,
         }
-        node.send_all(decide_by_kind[message['kind']](message, now))
+        outgoing = decide_by_kind[message['kind']](message, now)
+        node.send_all(_without_overtaken(outgoing))
 
     def _on_reply(self, message: Message) -> None:
         self._node.pending.deliver(message['request_id'], message)
@@ -316,6 +317,21 @@
         node.send(broker, message)
 
 
+def _without_overtaken(outgoing: list[Outgoing]) -> list[Outgoing]:
+    """Leave out notices of queueing that a grant follows at once."""
+    granted = {
+        item.message['request_id']
+        for item in outgoing
+        if item.message['kind'] == 'permit_grant'
+    }
+    return [
+        item
+        for item in outgoing
+        if item.message['kind'] != 'permit_queued'
+        or item.message['request_id'] not in granted
+    ]
+
+
 def _hands_back(reply: Message) -> bool:
     return (
         reply['kind'] == 'permit_refusal'
