Prove that a leaving host serves callers until their answers expire

Cause: with the wait for resolve_ttl_s switched off no process scenario failed: the 4 s download of the graceful stop outlasted it. Change: a scenario sends new connections to a host for 1.4 s after SIGTERM. Result: fails with the connection refused when the wait is 0; passes with it.

--- a/features/process_graceful_stop.feature
+++ b/features/process_graceful_stop.feature
@@ -12,3 +12,9 @@
     Then no request at host-b was cut
     And no order ran twice and none was lost
     And no target received a key
+
+  Scenario: A caller that still holds the answer is served until it expires
+    Given a fleet of 3 hosts
+    When host-b gets SIGTERM
+    Then host-b answers every lookup for 1.4 s
+    And host-b exits with status 0 within 15 s
--- a/features/steps/operator_steps.py
+++ b/features/steps/operator_steps.py
@@ -5,6 +5,7 @@
 import json
 import os
 import sys
+import time
 from functools import partial
 
 from behave import then, when
@@ -155,3 +156,26 @@
         return found
 
     assert not context.run(records())
+
+
+@then('{host} answers every lookup for {seconds:f} s')
+def then_answers_for(context, host, seconds):
+    plan = context.fleet.plan.workspaces[-1]
+    url = f'{context.fleet.caller_url(host)}/sett/x'
+
+    async def send():
+        session = context.fleet.around.session
+        ends_at = time.monotonic() + seconds
+        answered = 0
+        while time.monotonic() < ends_at:
+            headers = {'X-Api-Key': plan.key}
+            # A new connection each time, as a caller with an answer makes.
+            headers['Connection'] = 'close'
+            async with session.get(url, headers=headers) as response:
+                reason = response.headers.get('Oleanderridge-Reason')
+                assert reason in {None, 'rate-exceeded'}, reason
+                answered += response.status == 200
+            await asyncio.sleep(0.05)
+        assert answered
+
+    context.run(send())
