Test a key that moves to another workspace while its request is queued

Cause: with the check switched off no test failed. Change: a new bundle gives the key to another workspace; the queued request is refused as key-not-allowed, not run, and no target sees it. Result: fails without the check, passes with it.

--- a/bench/forward_host.py
+++ b/bench/forward_host.py
@@ -157,6 +157,11 @@
         self.index = 'revoked'
         self.forwarder.on_bundle(self.index)
 
+    def move_key(self) -> None:
+        """Put a bundle in force in which the key has another workspace."""
+        self.index = 'moved'
+        self.forwarder.on_bundle(self.index)
+
     def _ports(self) -> Ports:
         return Ports(
             match=self._match,
@@ -225,6 +230,8 @@
 ) -> Result[str, Refusal]:
     if index == 'allowed':
         return Ok('mill' if key else 'open')
+    if index == 'moved':
+        return Ok('shop')
     return Err(refuse('key-unknown'))
 
 
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -530,6 +530,19 @@
         assert len(target.seen) == 2
 
 
+@in_loop
+async def test_key_that_moves_to_another_workspace():
+    """Guards against a request that runs for a workspace without its key."""
+    async with served() as (target, host):
+        host.permit_wait = asyncio.Event()
+        queued = start(host.handle(request('POST')))
+        await host.until(lambda: host.admitted == ['mill'])
+        host.move_key()
+        host.permit_wait.set()
+        assert refused(await queued) == ('key-not-allowed', 'not-run')
+        assert not target.seen
+
+
 @pytest.mark.parametrize('method', ['GET', 'POST'])
 @in_loop
 async def test_withdrawn_key_cuts_streams(method):
