Serve the users' platform: gateway hosts with one placing host

Cause: today's program starts on the platform and serves nothing: it reads keys that the store lacks and has no host list.

Ruled out: a lease that needs a majority (refuses honest work while half of the hosts is cut off); a ready-made list of hosts (the store has none); health probes (targets hang while their probe is good, and probes are priced); pynng (its sockets show no silence of their own, datagrams do).

Change: platform/ holds names, formats and calls; http1/ the edges; a roster found by seeds, targets and configuration followed by one host a zone and fetched by the others, placement by expected cost at one host with the own placement as fallback, rates, retry budget.

--- a/oleanderridge/cmdline.py
+++ b/oleanderridge/cmdline.py
@@ -8,7 +8,14 @@
 from typing import Final
 
 # Each module has a function ``register(subparsers)``.
-COMMAND_MODULES: Final = ('serve', 'check', 'bundle', 'remote', 'version')
+COMMAND_MODULES: Final = (
+    'serve',
+    'gateway',
+    'check',
+    'bundle',
+    'remote',
+    'version',
+)
 
 
 def build_parser() -> argparse.ArgumentParser:
--- /dev/null
+++ b/oleanderridge/commands/gateway.py
@@ -0,0 +1,69 @@
+"""The ``gateway`` subcommand: runs one host on its users' platform."""
+
+from __future__ import annotations
+
+import argparse
+import sys
+from pathlib import Path
+
+from result import Err
+
+from oleanderridge.findings import format_finding
+
+_EPILOG = """\
+example:
+  oleanderridge gateway --settings /run/oleanderridge/gateway.yaml
+
+exit status:
+  0 after a graceful shutdown, 1 when the settings have findings or a task
+  of the host failed
+"""
+
+
+def register(subparsers: argparse._SubParsersAction) -> None:
+    """Add the subcommand.
+
+    Parameters
+    ----------
+    subparsers : argparse subparsers
+        Where to add it.
+    """
+    parser = subparsers.add_parser(
+        'gateway',
+        help='run one host that reads its configuration from a store',
+        epilog=_EPILOG,
+        formatter_class=argparse.RawDescriptionHelpFormatter,
+    )
+    parser.add_argument('--settings', type=Path, required=True)
+    parser.add_argument(
+        '--check', action='store_true', help='check the settings and stop'
+    )
+    parser.set_defaults(run=run)
+
+
+def run(options: argparse.Namespace) -> int:
+    """Run a host until it is told to stop.
+
+    Parameters
+    ----------
+    options : argparse.Namespace
+        ``settings`` is the path of the settings file.
+
+    Returns
+    -------
+    int
+        Exit status.
+    """
+    # Imported here: the other subcommands start without the servers.
+    from oleanderridge.gateway.process import run_gateway
+    from oleanderridge.gateway.settings import load_gateway_settings
+
+    loaded = load_gateway_settings(options.settings)
+    if isinstance(loaded, Err):
+        for finding in loaded.err_value:
+            print(format_finding(finding), file=sys.stderr)
+        return 1
+    if options.check:
+        print(f'{options.settings}: no findings')
+        return 0
+    return run_gateway(loaded.ok_value, options.settings)
--- /dev/null
+++ b/oleanderridge/gateway/beliefs.py
@@ -0,0 +1,109 @@
+"""The configuration and the targets in force, and how old that word is."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+from typing import Final
+
+from result import Err
+
+from oleanderridge.findings import format_finding
+from oleanderridge.gateway.model import Configuration
+from oleanderridge.gateway.target_table import TargetTable
+from oleanderridge.platform.records import decode_configuration
+from oleanderridge.telemetry.logs import log_event
+
+_LOGGER = logging.getLogger(__name__)
+
+_NEVER_MS: Final = 3_600_000
+
+
+class Beliefs:
+    """What the store said, from whichever host it came.
+
+    Parameters
+    ----------
+    on_configuration : callable
+        Called with each configuration that comes into force.
+    on_targets : callable
+        Called when a target was stated or removed.
+    """
+
+    def __init__(
+        self,
+        on_configuration: Callable[[Configuration], None],
+        on_targets: Callable[[], None],
+    ) -> None:
+        self.table = TargetTable()
+        self.configuration: Configuration | None = None
+        self.on_targets = on_targets
+        self._on_configuration = on_configuration
+        self._word_at: float | None = None
+
+    def version(self) -> int:
+        """Return the version in force, or 0."""
+        return self.configuration.version if self.configuration else 0
+
+    def source(self) -> bytes:
+        """Return the document in force."""
+        return self.configuration.source if self.configuration else b''
+
+    def offer(self, source: bytes, origin: str) -> None:
+        """Put a configuration in force, whole, if its version is higher.
+
+        Parameters
+        ----------
+        source : bytes
+            The document.
+        origin : str
+            ``store`` or the host that it came from.
+        """
+        decoded = decode_configuration(source)
+        if isinstance(decoded, Err):
+            for finding in decoded.err_value:
+                log_event(
+                    _LOGGER,
+                    'configuration-rejected',
+                    logging.ERROR,
+                    finding=format_finding(finding),
+                    origin=origin,
+                    in_force=self.version(),
+                )
+            return
+        configuration = decoded.ok_value
+        if configuration.version <= self.version():
+            return
+        former = self.configuration
+        self.configuration = configuration
+        withdrawn = 0
+        if former is not None:
+            keys = former.workspace_by_key.keys()
+            withdrawn = len(keys - configuration.workspace_by_key.keys())
+        log_event(
+            _LOGGER,
+            'configuration-in-force',
+            logging.INFO,
+            version=configuration.version,
+            former=former.version if former else 0,
+            origin=origin,
+            withdrawn_keys=withdrawn,
+        )
+        self._on_configuration(configuration)
+
+    def confirm(self, at: float) -> None:
+        """Note that the store's word was current at a time.
+
+        Parameters
+        ----------
+        at : float
+            Monotonic seconds.
+        """
+        if self._word_at is None or at > self._word_at:
+            self._word_at = at
+
+    def age_ms(self, now: float) -> int:
+        """Return how old the store's last word is, in milliseconds."""
+        if self._word_at is None:
+            return _NEVER_MS
+        return max(0, int((now - self._word_at) * 1000))
--- /dev/null
+++ b/oleanderridge/gateway/fleet_sync.py
@@ -0,0 +1,326 @@
+"""Beats between hosts, and the fetching of what others know already."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable
+from random import Random
+from typing import Final
+
+from result import Err
+
+from oleanderridge.gateway.beliefs import Beliefs
+from oleanderridge.gateway.model import TargetRecord
+from oleanderridge.gateway.peers import Datagrams, fetch_sync
+from oleanderridge.generated.fleet import (
+    Beat,
+    SyncReply,
+    SyncRequest,
+    TargetEntry,
+)
+from oleanderridge.generated.gateway import GatewaySettings
+from oleanderridge.membership.roster import Roster
+from oleanderridge.telemetry.logs import log_event
+
+_LOGGER = logging.getLogger(__name__)
+
+# Every so many beats one goes to a seed or to any other host, so that parts
+# of the fleet that lost each other meet again.
+_WIDER_EVERY: Final = 4
+# News of another zone are left to the relay of the own one for this long.
+_RELAY_HEAD_START_S: Final = 0.25
+# Hosts that do not lead are asked for their list of hosts this rarely.
+_MERGE_EVERY_S: Final = 1.0
+
+
+class FleetSync:
+    """Tells the others what this host knows, and learns what they know.
+
+    Parameters
+    ----------
+    settings : GatewaySettings
+        Peers and their port.
+    roster : Roster
+        The other hosts.
+    beliefs : Beliefs
+        Configuration and targets of this host.
+    datagrams : Datagrams
+        Carries the beats.
+    rng : Random
+        Chooses whom to beat to besides.
+    """
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        roster: Roster,
+        beliefs: Beliefs,
+        datagrams: Datagrams,
+        rng: Random,
+    ) -> None:
+        self._peers = settings['peers']
+        self._roster = roster
+        self._beliefs = beliefs
+        self._datagrams = datagrams
+        self._rng = rng
+        self._seeds = [
+            seed.rpartition(':')[0] or seed for seed in self._peers['seeds']
+        ]
+        self._beats = 0
+        self._fetching: set[str] = set()
+        self._tasks: set[asyncio.Task] = set()
+        self._merged_at: float = 0
+        self._leader = ''
+        self.avoid: Callable[[], list[str]] = list
+        self.on_avoid: Callable[[list[str]], None] = lambda _targets: None
+
+    async def run(self) -> None:
+        """Beat until cancelled."""
+        while True:
+            self.beat()
+            await asyncio.sleep(
+                self._peers['beat_s'] * self._rng.uniform(0.9, 1.1)
+            )
+
+    def beat(self) -> None:
+        """Beat to the hosts whose turn it is."""
+        now = _now()
+        self._beats += 1
+        leader = self._roster.leader(now)
+        if leader != self._leader:
+            log_event(
+                _LOGGER,
+                'leader-changed',
+                logging.INFO,
+                leader=leader,
+                former=self._leader or '-',
+                alive=len(self._roster.alive(now)),
+                known=self._roster.known(now),
+            )
+            self._leader = leader
+        asked = {leader, self._roster.relay(now)} - {self._roster.host}
+        message = self._message(now, reply_wanted=True)
+        for host in asked:
+            self._roster.note_asked(host, now)
+            self._datagrams.send(host, message)
+        for host in self._wider() - asked:
+            self._datagrams.send(host, message)
+
+    def announce(self) -> None:
+        """Beat at once to the live hosts of the own zone and the leader."""
+        now = _now()
+        message = self._message(now, reply_wanted=False)
+        near = {
+            member.host
+            for member in self._roster.alive(now)
+            if member.zone == self._roster.zone
+        }
+        near.add(self._roster.leader(now))
+        for host in near - {self._roster.host}:
+            self._datagrams.send(host, message)
+
+    def on_beat(self, beat: Beat) -> None:
+        """Take in a beat and answer it if that is wanted."""
+        now = _now()
+        if self._roster.on_beat(beat, now):
+            log_event(
+                _LOGGER,
+                'host-heard',
+                logging.INFO,
+                peer=beat.host,
+                zone=beat.zone,
+                state=beat.state,
+                incarnation=beat.incarnation,
+            )
+        if beat.reply_wanted:
+            reply = self._message(now, reply_wanted=False)
+            self._datagrams.send(beat.host, reply)
+        self._compare(beat, now)
+
+    def answer_sync(self, request: SyncRequest) -> SyncReply:
+        """Return what another host lacks."""
+        now = _now()
+        table = self._beliefs.table
+        config = b''
+        if request.config_version < self._beliefs.version():
+            config = self._beliefs.source()
+        whole = request.targets_revision >= table.revision or (
+            request.targets_revision == 0
+        )
+        if request.targets_digest == table.digest:
+            records, removed, whole = [], [], False
+        elif whole:
+            records, removed = list(table.by_id.values()), []
+        else:
+            records, removed = table.since(request.targets_revision)
+        members = []
+        if request.members_digest != self._roster.digest(now):
+            members = self._roster.entries(now)
+        return SyncReply(
+            config,
+            table.revision,
+            whole,
+            [_entry(record) for record in records],
+            removed,
+            members,
+            self._beliefs.age_ms(now),
+        )
+
+    def _wider(self) -> set[str]:
+        others = self._roster.others()
+        if not others:
+            return set(self._seeds) - {self._roster.host}
+        if self._beats % _WIDER_EVERY:
+            return set()
+        pool = [*self._seeds, self._rng.choice(others)]
+        return {self._rng.choice(pool)} - {self._roster.host}
+
+    def _message(self, now: float, *, reply_wanted: bool) -> Beat:
+        roster = self._roster
+        avoid = []
+        if not reply_wanted and self._leader == roster.host:
+            avoid = self.avoid()
+        return Beat(
+            roster.host,
+            roster.zone,
+            roster.incarnation,
+            roster.state,
+            self._beliefs.version(),
+            self._beliefs.table.revision,
+            self._beliefs.table.digest,
+            roster.digest(now),
+            self._beliefs.age_ms(now),
+            reply_wanted,
+            avoid,
+        )
+
+    def _compare(self, beat: Beat, now: float) -> None:
+        leads = beat.host == self._roster.leader(now)
+        if leads and isinstance(beat.avoid, list) and beat.avoid:
+            self.on_avoid(beat.avoid)
+        if beat.members_digest == self._roster.digest(now):
+            if leads:
+                self._roster.vouch(now)
+        elif leads or now - self._merged_at > _MERGE_EVERY_S:
+            self._merged_at = now
+            self._fetch(beat.host)
+        table = self._beliefs.table
+        same_targets = beat.targets_digest == table.digest
+        if same_targets:
+            table.advance(beat.targets_revision)
+            if beat.config_version == self._beliefs.version():
+                self._beliefs.confirm(now - beat.store_age_ms / 1000)
+        if self._is_behind(beat):
+            near = beat.zone == self._roster.zone
+            if near or not table.by_id or not self._beliefs.version():
+                self._fetch(beat.host)
+            else:
+                asyncio.get_running_loop().call_later(
+                    _RELAY_HEAD_START_S, self._fetch_if_behind, beat
+                )
+
+    def _is_behind(self, beat: Beat) -> bool:
+        table = self._beliefs.table
+        if beat.config_version > self._beliefs.version():
+            return True
+        return (
+            beat.targets_digest != table.digest
+            and beat.targets_revision >= table.revision
+            and beat.targets_revision > 0
+        )
+
+    def _fetch_if_behind(self, beat: Beat) -> None:
+        if self._is_behind(beat):
+            self._fetch(beat.host)
+
+    def _fetch(self, host: str) -> None:
+        if host in self._fetching:
+            return
+        self._fetching.add(host)
+        task = asyncio.get_running_loop().create_task(self._sync(host))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _sync(self, host: str) -> None:
+        try:
+            await self._fetch_from(host)
+        finally:
+            self._fetching.discard(host)
+
+    async def _fetch_from(self, host: str) -> None:
+        table = self._beliefs.table
+        request = SyncRequest(
+            self._beliefs.version(),
+            table.revision if table.by_id else 0,
+            table.digest,
+            self._roster.digest(_now()),
+        )
+        fetched = await fetch_sync(host, self._peers['port'], request)
+        if isinstance(fetched, Err):
+            log_event(
+                _LOGGER,
+                'sync-failed',
+                logging.WARNING,
+                peer=host,
+                error=fetched.err_value,
+            )
+            return
+        reply = fetched.ok_value
+        now = _now()
+        if reply.members:
+            leads = host == self._roster.leader(now)
+            self._roster.merge(reply.members, now, whole=leads)
+        self._take_targets(reply)
+        if reply.config:
+            self._beliefs.offer(bytes(reply.config), host)
+        self._beliefs.confirm(now - reply.store_age_ms / 1000)
+
+    def _take_targets(self, reply: SyncReply) -> None:
+        table = self._beliefs.table
+        records = [_record(entry) for entry in reply.targets]
+        before = table.digest
+        if reply.whole:
+            missing = table.replace(records, reply.targets_revision)
+            for target in missing:
+                table.remove(target, reply.targets_revision)
+        else:
+            for record in records:
+                table.put(record)
+            for target in reply.removed:
+                table.remove(target, reply.targets_revision)
+            table.advance(reply.targets_revision)
+        if table.digest != before:
+            self._beliefs.on_targets()
+
+
+def _entry(record: TargetRecord) -> TargetEntry:
+    return TargetEntry(
+        record.target,
+        record.service,
+        record.address,
+        record.zone,
+        record.slots,
+        record.state,
+        int(record.cold_s * 1000),
+        record.born_ms,
+        record.revision,
+    )
+
+
+def _record(entry: TargetEntry) -> TargetRecord:
+    return TargetRecord(
+        entry.target,
+        entry.service,
+        entry.address,
+        entry.zone,
+        entry.slots,
+        entry.state,
+        entry.cold_ms / 1000,
+        entry.born_ms,
+        entry.revision,
+    )
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- /dev/null
+++ b/oleanderridge/gateway/gateway_metrics.py
@@ -0,0 +1,76 @@
+"""Metrics of a gateway host; no label takes a value from a caller."""
+
+from __future__ import annotations
+
+from typing import Final
+
+from aioprometheus import Counter, Gauge, Histogram, Registry, render
+
+_LATENCY_BUCKETS_S: Final = (
+    0.025,
+    0.05,
+    0.1,
+    0.2,
+    0.3,
+    0.4,
+    0.6,
+    0.8,
+    1.2,
+    2.5,
+    5,
+)
+
+
+class GatewayMetrics:
+    """Counters, gauges and histograms that a host exports."""
+
+    def __init__(self) -> None:
+        self._registry = Registry()
+        self.requests = Counter(
+            'oleanderridge_gateway_requests_total',
+            'Requests by service and reason of their end.',
+            registry=self._registry,
+        )
+        self.seconds = Histogram(
+            'oleanderridge_gateway_request_seconds',
+            'Time from the head of a request to its answer.',
+            registry=self._registry,
+            buckets=list(_LATENCY_BUCKETS_S),
+        )
+        self.configuration_version = self._gauge(
+            'configuration_version', 'Version in force.'
+        )
+        self.store_age = self._gauge(
+            'store_word_age_seconds', "Age of the store's last word."
+        )
+        self.store_calls = self._gauge('store_calls', 'Calls to the store.')
+        self.hosts_alive = self._gauge('hosts_alive', 'Hosts that are heard.')
+
+    def on_ended(
+        self, service: str, reason: str, kind: str, took_s: float
+    ) -> None:
+        """Count one request.
+
+        Parameters
+        ----------
+        service : str
+            Empty when none was chosen.
+        reason : str
+            One of the forwarder's reasons.
+        kind : str
+            Whether the request may be repeated.
+        took_s : float
+            Seconds.
+        """
+        self.requests.inc({'service': service, 'reason': reason})
+        if service:
+            self.seconds.observe({'service': service, 'kind': kind}, took_s)
+
+    def exposition(self) -> tuple[bytes, dict[str, str]]:
+        """Return the metrics as text, and the headers that describe it."""
+        return render(self._registry, ['text/plain'])
+
+    def _gauge(self, name: str, doc: str) -> Gauge:
+        return Gauge(
+            f'oleanderridge_gateway_{name}', doc, registry=self._registry
+        )
--- /dev/null
+++ b/oleanderridge/gateway/peers.py
@@ -0,0 +1,206 @@
+"""Datagrams and whole lists between hosts."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable
+from typing import Any, Final
+
+from msgspec import DecodeError, ValidationError
+from msgspec.msgpack import Decoder, Encoder
+from result import Err, Ok, Result
+
+from oleanderridge.gateway.compact import Compact
+from oleanderridge.generated.fleet import (
+    Acquire,
+    Beat,
+    Grant,
+    Queued,
+    Refused,
+    Release,
+    SyncReply,
+    SyncRequest,
+)
+from oleanderridge.telemetry.logs import log_event
+
+_LOGGER = logging.getLogger(__name__)
+
+# The first byte of a datagram is the place of its type in this list.
+_TYPES: Final[tuple[type[Compact], ...]] = (
+    Beat,
+    Acquire,
+    Grant,
+    Queued,
+    Refused,
+    Release,
+)
+_NUMBER_BY_TYPE: Final = {each: place for place, each in enumerate(_TYPES)}
+_DECODERS: Final = tuple(Decoder(each) for each in _TYPES)
+_ENCODER: Final = Encoder()
+_SYNC_REQUEST: Final = Decoder(SyncRequest)
+_SYNC_REPLY: Final = Decoder(SyncReply)
+_SYNC_BYTES_MAX: Final = 1 << 26
+_LENGTH_BYTES: Final = 4
+_SYNC_TIMEOUT_S: Final = 0.8
+_SYNC_ERRORS: Final = (OSError, DecodeError, EOFError, ValueError)
+
+Receive = Callable[[Any, str], None]
+
+
+class Datagrams(asyncio.DatagramProtocol):
+    """Messages that may be lost, one in each datagram.
+
+    Parameters
+    ----------
+    receive : callable
+        Gets each well-formed message and the address that sent it.
+    """
+
+    def __init__(self, receive: Receive) -> None:
+        self._receive = receive
+        self._transport: Any = None
+        self._port = 0
+
+    async def listen(self, address: str, port: int) -> None:
+        """Open the socket.
+
+        Parameters
+        ----------
+        address : str
+            IP address of this host.
+        port : int
+            UDP port, the same on every host.
+
+        Raises
+        ------
+        OSError
+            The port is taken.
+        """
+        self._port = port
+        loop = asyncio.get_running_loop()
+        opened = await loop.create_datagram_endpoint(
+            lambda: self, local_addr=(address, port)
+        )
+        self._transport = opened[0]
+
+    def datagram_received(self, data: bytes, addr: Any) -> None:
+        """Decode a message and hand it on."""
+        try:
+            message = _DECODERS[data[0]].decode(data[1:])
+        except (DecodeError, ValidationError, IndexError) as error:
+            log_event(
+                _LOGGER,
+                'peer-message-malformed',
+                logging.WARNING,
+                peer=addr[0],
+                error=str(error),
+            )
+            return
+        self._receive(message, addr[0])
+
+    def error_received(self, exc: Exception) -> None:
+        """Note a port that nobody listens on."""
+        log_event(_LOGGER, 'peer-unreachable', logging.DEBUG, error=str(exc))
+
+    def send(self, host: str, message: Compact) -> None:
+        """Send a message to a host.
+
+        Parameters
+        ----------
+        host : str
+            Its IP address.
+        message : Compact
+            One of the known types.
+        """
+        if self._transport is None or self._transport.is_closing():
+            return
+        number = _NUMBER_BY_TYPE[type(message)]
+        content = bytes((number,)) + _ENCODER.encode(message)
+        self._transport.sendto(content, (host, self._port))
+
+    def close(self) -> None:
+        """Close the socket."""
+        if self._transport is not None:
+            self._transport.close()
+
+
+async def serve_sync(
+    address: str, port: int, answer: Callable[[SyncRequest], SyncReply]
+) -> asyncio.Server:
+    """Serve whole lists to other hosts.
+
+    Parameters
+    ----------
+    address : str
+        IP address of this host.
+    port : int
+        TCP port, the same on every host.
+    answer : callable
+        Returns what a request lacks.
+
+    Returns
+    -------
+    asyncio.Server
+        Already listening.
+    """
+
+    async def serve(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            async with asyncio.timeout(_SYNC_TIMEOUT_S):
+                request = _SYNC_REQUEST.decode(await _read_frame(reader))
+                writer.write(_frame(_ENCODER.encode(answer(request))))
+                await writer.drain()
+        except _SYNC_ERRORS as error:
+            log_event(_LOGGER, 'sync-not-served', error=repr(error))
+        finally:
+            writer.close()
+
+    return await asyncio.start_server(serve, address, port, backlog=256)
+
+
+async def fetch_sync(
+    host: str, port: int, request: SyncRequest
+) -> Result[SyncReply, str]:
+    """Fetch what is newer at another host.
+
+    Parameters
+    ----------
+    host : str
+        Its IP address.
+    port : int
+        Its TCP port.
+    request : SyncRequest
+        What this host has.
+
+    Returns
+    -------
+    Result of SyncReply, str
+        The news, or why there are none.
+    """
+    try:
+        async with asyncio.timeout(_SYNC_TIMEOUT_S):
+            reader, writer = await asyncio.open_connection(
+                host, port, limit=_SYNC_BYTES_MAX
+            )
+            try:
+                writer.write(_frame(_ENCODER.encode(request)))
+                content = await _read_frame(reader)
+            finally:
+                writer.close()
+        return Ok(_SYNC_REPLY.decode(content))
+    except _SYNC_ERRORS as error:
+        return Err(repr(error))
+
+
+def _frame(content: bytes) -> bytes:
+    return len(content).to_bytes(_LENGTH_BYTES, 'big') + content
+
+
+async def _read_frame(reader: asyncio.StreamReader) -> bytes:
+    length = int.from_bytes(await reader.readexactly(_LENGTH_BYTES), 'big')
+    if length > _SYNC_BYTES_MAX:
+        raise ValueError(f'a frame of {length} bytes')
+    return await reader.readexactly(length)
--- /dev/null
+++ b/oleanderridge/gateway/process.py
@@ -0,0 +1,340 @@
+"""Composes one gateway host and runs it until it is told to stop."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import signal
+import time
+from collections.abc import Coroutine
+from pathlib import Path
+from random import Random
+from typing import Any, Final
+
+from oleanderridge.config.follower import FollowerPorts, StoreFollower
+from oleanderridge.dispatch.permit_client import PermitClient
+from oleanderridge.dispatch.placement import Placement
+from oleanderridge.forward.gateway_request import GatewayForwarder, Ports
+from oleanderridge.gateway.beliefs import Beliefs
+from oleanderridge.gateway.fleet_sync import FleetSync
+from oleanderridge.gateway.gateway_metrics import GatewayMetrics
+from oleanderridge.gateway.model import DRAINING, Configuration
+from oleanderridge.gateway.peers import Datagrams, serve_sync
+from oleanderridge.gateway.public_pages import PublicPages
+from oleanderridge.generated.fleet import Acquire, Beat, Release
+from oleanderridge.generated.gateway import GatewaySettings
+from oleanderridge.http1.client import ConnectionPool
+from oleanderridge.http1.server import Edge, EdgeLimits
+from oleanderridge.membership.roster import LEAVING, READY, Roster
+from oleanderridge.platform.store import StoreClient
+from oleanderridge.telemetry.bounded_log import start_bounded_log
+from oleanderridge.telemetry.logs import log_event
+
+_LOGGER = logging.getLogger(__name__)
+
+_TICK_S: Final = 0.02
+_SLOW_TICK_S: Final = 0.25
+# A host that others ask to place counts as leading for so long.
+_LEADS_S: Final = 2.0
+# Without the store's word for this long a host reads the store itself; each
+# rank in its zone waits a little longer, so that few do.
+_WORD_AGE_MS: Final = 1300
+_WORD_AGE_RANK_MS: Final = 150
+_WORD_AGE_MOST_MS: Final = 2500
+# Parts of the time that a stop may take: callers with old addresses are
+# served, then live requests end.
+_ACCEPT_PART: Final = 0.72
+_END_PART: Final = 0.93
+_CONNECT_TIMEOUT_S: Final = 0.12
+_BUFFER_PART: Final = 0.25
+_MEGABYTE: Final = 1_000_000
+
+
+class GatewayProcess:
+    """One running host.
+
+    Parameters
+    ----------
+    settings : GatewaySettings
+        Complete settings.
+    path : Path
+        Where they were read, to see when they change.
+    """
+
+    def __init__(self, settings: GatewaySettings, path: Path) -> None:
+        self._settings = settings
+        self._path = path
+        self._rng = Random()
+        self._metrics = GatewayMetrics()
+        self._roster = Roster(settings, time.time_ns() // 1_000_000)
+        self._beliefs = Beliefs(self._on_configuration, self._on_targets)
+        self._placement = Placement(settings, self._rng)
+        self._datagrams = Datagrams(self._on_message)
+        self._sync = FleetSync(
+            settings,
+            self._roster,
+            self._beliefs,
+            self._datagrams,
+            self._rng,
+        )
+        self._permits = PermitClient(
+            settings['address'],
+            self._placement,
+            self._datagrams.send,
+            lambda: self._roster.leader(_now()),
+        )
+        self._store = StoreClient(
+            settings['store']['address'], settings['store']['timeout_s']
+        )
+        self._follower = StoreFollower(
+            settings, self._store, self._beliefs.table, self._follower_ports()
+        )
+        self._pool = ConnectionPool(
+            _CONNECT_TIMEOUT_S, settings['bounds']['connections'] // 2
+        )
+        self._limits = EdgeLimits()
+        self._limits.buffered_bytes_max = int(
+            settings['bounds']['memory_mb'] * _MEGABYTE * _BUFFER_PART
+        )
+        forwarder = GatewayForwarder(self._forwarder_ports())
+        self._callers = Edge(forwarder.handle, self._limits)
+        pages = PublicPages(
+            settings,
+            self._roster,
+            self._metrics,
+            self._placement,
+            lambda: self._beliefs.age_ms(_now()),
+        )
+        self._public = Edge(pages.handle, EdgeLimits())
+        self._stopping = asyncio.Event()
+        self._tasks: set[asyncio.Task] = set()
+        self._failed = False
+        self._leads_until: float = 0
+
+    async def run(self) -> int:
+        """Serve until SIGTERM or SIGINT.
+
+        Returns
+        -------
+        int
+            Exit status: 0 after a graceful shutdown, 1 when a task failed.
+        """
+        settings = self._settings
+        log = start_bounded_log(settings['host'], settings['log_level'])
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._stopping.set)
+        loop.add_signal_handler(signal.SIGHUP, self._on_reload)
+        self._start(log.run())
+        await self._listen()
+        for work in (
+            self._sync.run(),
+            self._follower.run(),
+            self._tick(),
+            self._slow_tick(),
+        ):
+            self._start(work)
+        log_event(
+            _LOGGER,
+            'host-started',
+            logging.INFO,
+            zone=settings['zone'],
+            incarnation=self._roster.incarnation,
+        )
+        await self._stopping.wait()
+        await self._drain()
+        log_event(_LOGGER, 'host-stopped', logging.INFO, failed=self._failed)
+        log.flush()
+        return int(self._failed)
+
+    async def _listen(self) -> None:
+        settings = self._settings
+        address, port = settings['address'], settings['peers']['port']
+        await self._datagrams.listen(address, port)
+        await serve_sync(address, port, self._sync.answer_sync)
+        for name in ('readiness', 'directory'):
+            await self._public.listen(settings[name]['address'])
+        if settings['metrics_port']:
+            await self._public.listen(f'{address}:{settings["metrics_port"]}')
+        await self._callers.listen(settings['caller']['address'])
+
+    def _follower_ports(self) -> FollowerPorts:
+        return FollowerPorts(
+            on_configuration=self._on_stored_configuration,
+            on_targets=self._on_followed_targets,
+            on_word=lambda: self._beliefs.confirm(_now()),
+            has_duty=self._has_duty,
+        )
+
+    def _forwarder_ports(self) -> Ports:
+        return Ports(
+            settings=self._settings,
+            configuration=lambda: self._beliefs.configuration,
+            permits=self._permits,
+            pool=self._pool,
+            knows_leaving=self._knows_leaving,
+            on_ended=self._metrics.on_ended,
+            rng=self._rng,
+        )
+
+    def _knows_leaving(self, target: str) -> bool:
+        known = self._beliefs.table.by_id.get(target)
+        return known is not None and known.state == DRAINING
+
+    def _on_message(self, message: Any, sender: str) -> None:
+        if isinstance(message, Beat):
+            self._sync.on_beat(message)
+        elif isinstance(message, Acquire):
+            self._leads_until = _now() + _LEADS_S
+            answer = self._placement.acquire(message, _now())
+            self._datagrams.send(message.host, answer)
+        elif isinstance(message, Release):
+            answers = self._placement.release(message, _now())
+            self._permits.answer_waiting(answers)
+        else:
+            self._permits.on_message(message, sender)
+
+    def _on_stored_configuration(self, source: bytes) -> None:
+        before = self._beliefs.version()
+        self._beliefs.offer(source, 'store')
+        if self._beliefs.version() != before:
+            self._sync.announce()
+
+    def _on_followed_targets(self) -> None:
+        self._on_targets()
+        self._sync.announce()
+
+    def _on_configuration(self, configuration: Configuration) -> None:
+        self._placement.configure(configuration)
+        limits = configuration.limits
+        self._limits.header_bytes = limits.header_bytes
+        self._limits.body_bytes = limits.body_bytes
+        self._limits.header_timeout_s = limits.header_timeout_s
+        self._limits.idle_timeout_s = limits.idle_timeout_s
+        self._metrics.configuration_version.set({}, configuration.version)
+        self._become_ready()
+
+    def _on_targets(self) -> None:
+        self._placement.set_targets(self._beliefs.table.by_id, _now())
+        self._become_ready()
+
+    def _become_ready(self) -> None:
+        if self._roster.state in (READY, LEAVING):
+            return
+        if self._beliefs.configuration and self._beliefs.table.by_id:
+            self._roster.state = READY
+            log_event(
+                _LOGGER,
+                'host-ready',
+                logging.INFO,
+                version=self._beliefs.version(),
+                targets=len(self._beliefs.table.by_id),
+            )
+            self._sync.announce()
+
+    def _has_duty(self) -> bool:
+        now = _now()
+        if self._roster.state == LEAVING:
+            return False
+        if self._roster.relay(now) == self._roster.host:
+            return True
+        rank = self._roster.rank_in_zone(now)
+        patience_ms = _WORD_AGE_MS + _WORD_AGE_RANK_MS * rank
+        return self._beliefs.age_ms(now) > min(patience_ms, _WORD_AGE_MOST_MS)
+
+    def _on_reload(self) -> None:
+        log_event(
+            _LOGGER,
+            'settings-unchanged',
+            logging.INFO,
+            reason='addresses hold for the life of a process',
+            path=str(self._path),
+        )
+
+    def _start(self, work: Coroutine[Any, Any, Any]) -> asyncio.Task:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._on_task_done)
+        return task
+
+    def _on_task_done(self, task: asyncio.Task) -> None:
+        self._tasks.discard(task)
+        if task.cancelled() or task.exception() is None:
+            return
+        _LOGGER.error('task-failed', exc_info=task.exception())
+        self._failed = True
+        self._stopping.set()
+
+    async def _tick(self) -> None:
+        while True:
+            self._permits.answer_waiting(self._placement.tick(_now()))
+            await asyncio.sleep(_TICK_S)
+
+    async def _slow_tick(self) -> None:
+        while True:
+            now = _now()
+            known = self._roster.known(now)
+            leads = self._roster.leader(now) == self._roster.host
+            if leads or now < self._leads_until:
+                self._placement.set_part(self._roster.part_of_fleet(now))
+            else:
+                self._placement.set_part(1 / known)
+            if self._beliefs.table.lapse(now):
+                self._on_followed_targets()
+            self._pool.sweep()
+            self._metrics.store_age.set({}, self._beliefs.age_ms(now) / 1000)
+            self._metrics.store_calls.set({}, self._store.calls)
+            self._metrics.hosts_alive.set({}, len(self._roster.alive(now)))
+            await asyncio.sleep(_SLOW_TICK_S)
+
+    async def _drain(self) -> None:
+        """Leave: serve callers with old addresses, then end what is live."""
+        stop_s = self._settings['bounds']['stop_s']
+        began = _now()
+        self._roster.state = LEAVING
+        log_event(
+            _LOGGER,
+            'host-leaving',
+            logging.INFO,
+            live=self._callers.live(),
+        )
+        self._sync.announce()
+        self._sync.beat()
+        self._callers.begin_closing()
+        await asyncio.sleep(_ACCEPT_PART * stop_s)
+        self._callers.stop_listening()
+        # Live requests end on their own; a poll needs no hook in each.
+        end_at = began + _END_PART * stop_s
+        while self._callers.live() and _now() < end_at:  # noqa: ASYNC110
+            await asyncio.sleep(_TICK_S)
+        for task in tuple(self._tasks):
+            task.cancel()
+        self._pool.close()
+        self._datagrams.close()
+        await self._store.close()
+
+
+def run_gateway(settings: GatewaySettings, path: Path) -> int:
+    """Run one host to its end.
+
+    Parameters
+    ----------
+    settings : GatewaySettings
+        Complete settings.
+    path : Path
+        Where they were read.
+
+    Returns
+    -------
+    int
+        Exit status.
+    """
+
+    async def main() -> int:
+        return await GatewayProcess(settings, path).run()
+
+    return asyncio.run(main())
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- /dev/null
+++ b/oleanderridge/gateway/settings.py
@@ -0,0 +1,85 @@
+"""Loads and checks the settings of a gateway host."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any, cast
+
+from result import Err, Ok, Result
+
+from oleanderridge.addresses import is_address
+from oleanderridge.findings import Finding
+from oleanderridge.generated.gateway import GatewaySettings
+from oleanderridge.schema_check import (
+    Fault,
+    fill_defaults,
+    located,
+    read_yaml,
+    schema_faults,
+)
+
+_LISTENERS = ('caller', 'readiness', 'directory', 'store')
+
+
+def load_gateway_settings(
+    path: Path,
+) -> Result[GatewaySettings, list[Finding]]:
+    """Return the settings in a file.
+
+    Parameters
+    ----------
+    path : Path
+        YAML file.
+
+    Returns
+    -------
+    Result of GatewaySettings, list of Finding
+        Complete settings, defaults filled in; or all findings.
+    """
+    try:
+        text = path.read_text(encoding='utf-8')
+    except (OSError, UnicodeDecodeError) as error:
+        return Err([Finding(str(path), 0, '', f'cannot be read: {error}')])
+    return parse_gateway_settings(text, str(path))
+
+
+def parse_gateway_settings(
+    text: str, source: str
+) -> Result[GatewaySettings, list[Finding]]:
+    """Return the settings in a YAML text.
+
+    Parameters
+    ----------
+    text : str
+        YAML.
+    source : str
+        Name of the text in findings.
+
+    Returns
+    -------
+    Result of GatewaySettings, list of Finding
+        Complete settings, defaults filled in; or all findings.
+    """
+    parsed = read_yaml(text, source)
+    if parsed.is_err():
+        return Err(parsed.unwrap_err())
+    read = parsed.unwrap()
+    faults = list(schema_faults('gateway', read.content))
+    settings = None
+    if not faults:
+        settings = fill_defaults('gateway', read.content)
+        faults = list(_address_faults(settings))
+    if faults:
+        return Err(located(source, read.root, faults))
+    return Ok(cast(GatewaySettings, settings))
+
+
+def _address_faults(settings: dict[str, Any]) -> Iterator[Fault]:
+    for name in _LISTENERS:
+        address = settings[name]['address']
+        if not is_address(address, port_required=True):
+            yield (name, 'address'), f'{address!r} is no address and port'
+    for place, seed in enumerate(settings['peers']['seeds']):
+        if not is_address(seed, port_required=False):
+            yield ('peers', 'seeds', place), f'{seed!r} is no address'
--- /dev/null
+++ b/oleanderridge/http1/messages.py
@@ -0,0 +1,90 @@
+"""Requests and answers as the HTTP edges hand them on."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Final, NamedTuple
+
+Headers = list[tuple[bytes, bytes]]
+
+# RFC 9110, section 7.6.1, and the older names that some programs still send.
+_CONNECTION_HEADERS: Final = frozenset(
+    (
+        b'connection',
+        b'keep-alive',
+        b'proxy-connection',
+        b'proxy-authenticate',
+        b'proxy-authorization',
+        b'te',
+        b'trailer',
+        b'transfer-encoding',
+        b'upgrade',
+    )
+)
+
+
+class Inbound(NamedTuple):
+    """One whole request of a caller.
+
+    ``received_at`` is the monotonic time in seconds at which its head was
+    read; ``gone`` is done once the caller has closed its connection.
+    """
+
+    method: bytes
+    target: bytes
+    headers: Headers
+    body: bytes
+    received_at: float
+    gone: asyncio.Future[None]
+
+
+class Reply(NamedTuple):
+    """The answer to a caller; the edge adds length and connection headers."""
+
+    status: int
+    headers: Headers
+    body: bytes
+
+
+def header(headers: Headers, name: bytes) -> bytes | None:
+    """Return the first value of a header, or None.
+
+    Parameters
+    ----------
+    headers : list of tuple
+        Names in lower case.
+    name : bytes
+        A name in lower case.
+
+    Returns
+    -------
+    bytes or None
+        The value without surrounding spaces.
+    """
+    for known, value in headers:
+        if known == name:
+            return value
+    return None
+
+
+def end_to_end(headers: Headers) -> Headers:
+    """Return the headers that concern more than one connection.
+
+    Parameters
+    ----------
+    headers : list of tuple
+        Names in lower case.
+
+    Returns
+    -------
+    list of tuple
+        Without the framing headers and what ``Connection`` names.
+    """
+    named = {
+        part.strip().lower()
+        for known, value in headers
+        if known == b'connection'
+        for part in value.split(b',')
+    }
+    left_out = _CONNECTION_HEADERS | named | {b'content-length', b'expect'}
+    return [pair for pair in headers if pair[0] not in left_out]
--- /dev/null
+++ b/oleanderridge/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Names, formats and calls of the users' platform; decides nothing."""
--- /dev/null
+++ b/tests/gateway_world.py
@@ -0,0 +1,98 @@
+"""Builders that the tests of the gateway share."""
+
+from random import Random
+
+from oleanderridge.dispatch.placement import Placement
+from oleanderridge.gateway.model import (
+    READY,
+    Configuration,
+    RequestLimits,
+    TargetRecord,
+    Workspace,
+)
+from oleanderridge.gateway.outcomes import Outcome, Purpose
+from oleanderridge.gateway.settings import parse_gateway_settings
+from oleanderridge.generated.fleet import Acquire, Release
+
+LINES = (
+    'host: front-1',
+    'address: 127.0.0.1',
+    'zone: z1',
+    'caller: {address: "127.0.0.1:7001"}',
+    'readiness: {address: "127.0.0.1:7002"}',
+    'directory: {address: "127.0.0.1:7003"}',
+    'peers: {port: 7004, seeds: ["127.0.0.2:9"]}',
+    'store: {address: "127.0.0.1:7005"}',
+    'bounds: {}',
+)
+
+
+def gateway_settings(*more, without=''):
+    """Return complete settings; ``without`` names a line to leave out."""
+    lines = [line for line in LINES if not without or without not in line]
+    parsed = parse_gateway_settings('\n'.join((*lines, *more)), 'g.yaml')
+    return parsed.unwrap()
+
+
+def record(target, zone='z1', **changes):
+    """Return the record of a ready target of the service ``lookup``."""
+    plain = TargetRecord(
+        target, 'lookup', f'10.0.0.1:{len(target)}', zone, 2, READY, 0, 1, 5
+    )
+    return plain._replace(**changes)
+
+
+def configuration(*workspaces, version=1):
+    """Return a configuration without routes."""
+    return Configuration(
+        version,
+        b'',
+        {},
+        {key: each for each in workspaces for key in each.keys},
+        {each.name: each for each in workspaces},
+        RequestLimits(),
+    )
+
+
+def workspace(name='w', rate=0.0, burst=0.0):
+    """Return a workspace with one key."""
+    return Workspace(name, (f'key-{name}',), 1, rate, burst)
+
+
+class PlacementWorld:
+    """A placement with a clock that the test moves."""
+
+    def __init__(self, *records, settings=None, seed=1):
+        self.now = 100.0
+        self.placement = Placement(settings or gateway_settings(), Random(seed))
+        self.placement.set_part(1)
+        self.placement.set_targets(
+            {each.target: each for each in records}, self.now
+        )
+        self._permit = 0
+
+    def acquire(self, **changes):
+        """Ask for a slot; the defaults are a first idempotent request."""
+        self._permit += 1
+        fields = {
+            'permit': self._permit,
+            'host': '10.1.0.1',
+            'zone': 'z1',
+            'service': 'lookup',
+            'workspace': '',
+            'priority': 1,
+            'unsafe': False,
+            'purpose': Purpose.FIRST,
+            'may_repeat': True,
+            'left_ms': 2000,
+            'aim_ms': 400,
+            'waited_ms': 0,
+            'excluded': [],
+        }
+        return self.placement.acquire(Acquire(**(fields | changes)), self.now)
+
+    def release(self, grant, outcome=Outcome.ANSWERED, after_s=0.1):
+        """Let time pass and release a grant; return what is answered."""
+        self.now += after_s
+        message = Release(grant.permit, outcome, int(after_s * 1000), 500)
+        return self.placement.release(message, self.now)
--- /dev/null
+++ b/tests/test_placement.py
@@ -0,0 +1,118 @@
+"""Requests go where they will be answered, and no slot is given twice."""
+
+from oleanderridge.gateway.outcomes import Outcome, Purpose
+from oleanderridge.generated.fleet import Grant, Queued, Refused
+from tests.gateway_world import (
+    PlacementWorld,
+    configuration,
+    record,
+    workspace,
+)
+
+
+def test_slots_are_never_exceeded_and_waiting_requests_follow():
+    """Guards against more requests at a target than it has slots."""
+    world = PlacementWorld(record('a'))
+    grants = [world.acquire(unsafe=True) for _ in range(2)]
+    third = world.acquire(unsafe=True)
+    assert all(isinstance(each, Grant) for each in grants)
+    assert isinstance(third, Queued)
+    [(host, granted)] = world.release(grants[0])
+    assert (host, granted.permit) == ('10.1.0.1', third.permit)
+
+
+def test_a_repeated_message_gets_the_same_slot():
+    """Guards against a lost grant that takes a second slot."""
+    world = PlacementWorld(record('a'))
+    first = world.acquire(permit=7)
+    again = world.acquire(permit=7)
+    assert again.target == first.target
+    assert isinstance(world.acquire(), Grant)
+
+
+def test_orders_avoid_a_target_that_leaves_a_request_unanswered():
+    """Guards against orders sent to a target that hangs."""
+    world = PlacementWorld(record('a'), record('b'))
+    for _ in range(6):
+        world.release(world.acquire(unsafe=True))
+    hanging = world.acquire(unsafe=True)
+    world.now += 0.6
+    for _ in range(4):
+        grant = world.acquire(unsafe=True)
+        assert grant.target != hanging.target
+        world.release(grant)
+
+
+def test_an_address_of_another_target_gets_nothing_until_restated():
+    """Guards against repeats at an address that was given to another."""
+    world = PlacementWorld(record('a'), record('b'))
+    grant = world.acquire(excluded=['b'])
+    world.release(grant, Outcome.OTHER_TARGET, 0.01)
+    assert world.acquire().target == 'b'
+    world.now += 30
+    assert isinstance(world.acquire(excluded=['b']), Queued)
+    world.placement.set_targets(
+        {'a': record('a', revision=9), 'b': record('b')}, world.now
+    )
+    assert world.acquire(excluded=['b']).target == 'a'
+
+
+def test_repeats_stop_when_the_budget_of_the_service_is_spent():
+    """Guards against repeats that multiply the load of a bad phase."""
+    world = PlacementWorld(*(record(f't{place}') for place in range(9)))
+    granted = 0
+    for _ in range(200):
+        reply = world.acquire(purpose=Purpose.REPEAT)
+        if isinstance(reply, Grant):
+            granted += 1
+            world.release(reply, Outcome.ANSWERED, 0.01)
+        else:
+            assert isinstance(reply, Refused)
+            assert reply.reason == 'no-retry-left'
+    assert 0 < granted <= 50
+
+
+def test_a_workspace_gets_no_more_than_its_rate_and_burst():
+    """Guards against a workspace that takes the slots of the others."""
+    world = PlacementWorld(*(record(f't{place}') for place in range(9)))
+    world.placement.configure(configuration(workspace(rate=10, burst=10)))
+    admitted = 0
+    for _ in range(500):
+        reply = world.acquire(workspace='w')
+        world.now += 0.01
+        if isinstance(reply, Grant):
+            admitted += 1
+            world.release(reply, Outcome.ANSWERED, 0)
+    assert 40 <= admitted <= 10 * 5 + 10 + 1
+
+
+def test_a_draining_target_gets_no_new_request():
+    """Guards against work for a target that is leaving."""
+    world = PlacementWorld(record('a'), record('b'))
+    draining = {'a': record('a', state='draining'), 'b': record('b')}
+    world.placement.set_targets(draining, world.now)
+    for _ in range(2):
+        assert world.acquire().target == 'b'
+
+
+def test_a_request_that_cannot_start_in_time_is_refused_at_once():
+    """Guards against requests held although nothing can serve them."""
+    world = PlacementWorld(record('a'))
+    for _ in range(2):
+        world.acquire(unsafe=True)
+    reply = world.acquire(unsafe=True, left_ms=40)
+    assert isinstance(reply, Refused)
+    assert reply.reason == 'no-target'
+    assert reply.retry_ms > 0
+
+
+def test_a_slot_whose_release_was_lost_is_freed_after_the_deadline():
+    """Guards against slots that leak with lost datagrams."""
+    world = PlacementWorld(record('a'))
+    for _ in range(2):
+        world.acquire(left_ms=300)
+    waiting = world.acquire(left_ms=5000)
+    assert isinstance(waiting, Queued)
+    world.now += 0.7
+    answered = world.placement.tick(world.now)
+    assert [message.permit for _, message in answered] == [waiting.permit]
--- a/tools/generate.py
+++ b/tools/generate.py
@@ -11,7 +11,17 @@
 
 _SCHEMAS = Path('oleanderridge/schema')
 _GENERATED = Path('oleanderridge/generated')
-_NAMES = ('messages', 'settings', 'bundle')
+_NAMES = ('messages', 'settings', 'bundle', 'gateway', 'fleet')
+_TYPED_DICT = (
+    '--output-model-type=typing.TypedDict',
+    '--no-use-closed-typed-dict',
+)
+# Messages whose field names would cost bytes on every datagram.
+_COMPACT = (
+    '--output-model-type=msgspec.Struct',
+    '--base-class=oleanderridge.gateway.compact.Compact',
+)
+_OPTIONS_BY_NAME = {'fleet': _COMPACT}
 
 
 def generate(name: str, output: Path) -> None:
@@ -34,13 +44,12 @@
         str(generator),
         f'--input={_SCHEMAS / name}.yaml',
         '--input-file-type=jsonschema',
-        '--output-model-type=typing.TypedDict',
+        *_OPTIONS_BY_NAME.get(name, _TYPED_DICT),
         '--target-python-version=3.11',
         '--disable-timestamp',
         '--use-standard-collections',
         '--use-union-operator',
         '--use-schema-description',
-        '--no-use-closed-typed-dict',
         '--type-mappings=binary=bytes',
         '--formatters',
         'ruff-format',
