Test the gateway's edges, placement, roster, follower and formats

Cause: the whole path had tests for its placement alone. The tests found a handler failure whose log line failed in turn, so that the caller got no answer, and a postponed removal that an unadvanced revision undid; both are corrected. Ruled out: a store stand-in of its own; the present one gets the second format (bench/record_store.py).

Change besides: late requests are placed last, repeats are kept for orders first, orders wait for a good target, answer sizes count by route, doubts are shared with hosts that place alone, leaders meet sooner after a restart.

--- a/bench/platform.py
+++ b/bench/platform.py
@@ -1,8 +1,8 @@
 """Stand-in of the platform: values, long-poll watches and its failures.
 
 ``GET /v1/values/<key>`` and ``GET /v1/watch/<key>`` follow section 14 of
-the design. The control interface is served under ``/control`` and works in
-every mode.
+the design; ``bench.record_store`` adds the format of the users. The control
+interface is served under ``/control`` and works in every mode.
 """
 
 from __future__ import annotations
@@ -13,9 +13,10 @@
 
 from aiohttp import web
 
+from bench.record_store import record_routes
 from bench.sockets import reset
 
-MODES = ('up', 'down', 'stale', 'paused')
+MODES = ('up', 'down', 'stale', 'paused', 'busy')
 VALUE_LIMIT_BYTES = 1_000_000
 
 
@@ -36,6 +37,8 @@
         self.stale_values: dict[str, Value] = {}
         self.calls = {'values': 0, 'watch': 0}
         self.waiting = 0
+        self.history: list[tuple[int, str, bytes | None]] = []
+        self.forgotten = 0
         self.changed = asyncio.Event()
 
     def visible(self, key: str) -> Value | None:
@@ -47,9 +50,33 @@
         """Store a value and wake the watches; return its revision."""
         self.revision += 1
         self.values[key] = Value(self.revision, content)
+        self.history.append((self.revision, key, content))
         self.notify()
         return self.revision
 
+    def remove_value(self, key: str) -> bool:
+        """Remove a value; return whether there was one."""
+        if self.values.pop(key, None) is None:
+            return False
+        self.revision += 1
+        self.history.append((self.revision, key, None))
+        self.notify()
+        return True
+
+    def forget_history(self) -> None:
+        """Drop the changes so far; watches from before fail."""
+        self.history.clear()
+        self.forgotten = self.revision
+        self.notify()
+
+    def records(self, prefix: str) -> list[tuple[str, int, bytes]]:
+        """Return the values whose keys begin with a prefix."""
+        return [
+            (key, value.revision, value.content)
+            for key, value in sorted(self.values.items())
+            if key.startswith(prefix)
+        ]
+
     def set_mode(self, mode: str) -> None:
         """Switch the mode; ``stale`` freezes what readers see."""
         if mode == 'stale' and self.mode != 'stale':
@@ -137,8 +164,14 @@
 async def control_remove(request: web.Request) -> web.Response:
     """Remove a value."""
     state = request.app[STATE]
-    removed = state.values.pop(request.match_info['key'], None)
-    return web.json_response({'removed': removed is not None})
+    removed = state.remove_value(request.match_info['key'])
+    return web.json_response({'removed': removed})
+
+
+async def control_forget(request: web.Request) -> web.Response:
+    """Drop the history of changes."""
+    request.app[STATE].forget_history()
+    return web.json_response({'revision': request.app[STATE].revision})
 
 
 async def control_mode(request: web.Request) -> web.Response:
@@ -175,7 +208,9 @@
             web.put('/control/values/{key:.+}', control_set),
             web.delete('/control/values/{key:.+}', control_remove),
             web.post('/control/mode/{mode}', control_mode),
+            web.post('/control/forget', control_forget),
             web.get('/control/counts', control_counts),
+            *record_routes(app[STATE]),
         ]
     )
     return app
--- a/oleanderridge/admission/quota.py
+++ b/oleanderridge/admission/quota.py
@@ -7,8 +7,10 @@
 
 from oleanderridge.gateway.model import Workspace
 
-# A bucket that is new to this host may have been emptied elsewhere.
-_LEVEL_OF_NEW: Final = 0.3
+# A host that begins to stand for much of the fleet does not know what its
+# predecessor handed out; small parts are whole at once.
+_LEVEL_OF_NEW: Final = 0.5
+_SMALL_PART: Final = 0.5
 # Below one token nothing could ever be admitted.
 _CAPACITY_LEAST: Final = 1.0
 
@@ -87,7 +89,8 @@
         capacity = max(_CAPACITY_LEAST, workspace.burst * self._part)
         bucket = self._bucket_by_workspace.get(workspace.name)
         if bucket is None:
-            bucket = _Bucket(max(1, capacity * _LEVEL_OF_NEW), now)
+            known = 1 if self._part < _SMALL_PART else _LEVEL_OF_NEW
+            bucket = _Bucket(max(1, capacity * known), now)
             self._bucket_by_workspace[workspace.name] = bucket
         grown = bucket.level + (now - bucket.at) * rate
         bucket.level = min(capacity, grown)
--- a/oleanderridge/dispatch/placement.py
+++ b/oleanderridge/dispatch/placement.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterable, Mapping
 from functools import partial
 from random import Random
@@ -43,14 +44,20 @@
 # Cost of an answer after its aim, in requests.
 _LATE_COST: Final = 0.9
 # A full target that costs less than the free ones by this much, in requests,
-# is waited for during this part of the aim.
-_WAIT_COST: Final = 0.6
-_WAIT_PART: Final = 0.2
+# is waited for; the amount grows with the part of the aim that is spent.
+_WAIT_COST: Final = 0.5
+_WAIT_COST_GROWTH: Final = 1.0
+# Idempotent requests that can move on wait for this part of the aim only.
+_WAIT_PART: Final = 0.25
+# With less than this many usual latencies left a request waits no longer.
+_LAST_CHANCE: Final = 2.0
 # Idempotent requests test a doubtful target that got nothing for this long.
 _TEST_AFTER_S: Final = 1.0
 _TEST_ABOVE: Final = 0.12
 # From this probability of being bad a target is doubtful.
 _DOUBTFUL: Final = 0.4
+# An own answer this recent outweighs the doubts of another placement.
+_OWN_FRESH_S: Final = 1.0
 # Tests leave this many repeats to requests that need them.
 _TEST_RESERVE: Final = 12
 # Tests stay in the zone of answers that cost more than this to move.
@@ -63,8 +70,16 @@
 # Answers of unknown size are assumed this large, in kilobytes.
 _ANSWER_KB: Final = 4.0
 _SIZE_WEIGHT: Final = 0.1
+# What a request and the headers of both ways add, in kilobytes.
+_EXCHANGE_KB: Final = 1.2
 # Requests that fail to be placed in one pass before the pass ends.
 _PASS_MISSES: Final = 12
+# A request counts as able to meet its aim if so large a share of answers
+# would.
+_IN_TIME_QUANTILE: Final = 0.7
+# Part of the repeats that is kept for non-idempotent requests that a target
+# turned away.
+_REPEAT_RESERVE_PART: Final = 0.3
 _RETRY_LEAST_S: Final = 0.05
 _RETRY_BUDGET_MS: Final = 200
 
@@ -86,7 +101,7 @@
     def __init__(self, aim_s: float, budget: RetryBudget) -> None:
         self.latencies = LatencyRecord(aim_s)
         self.budget = budget
-        self.answer_kb = _ANSWER_KB
+        self.kb_by_route: dict[str, float] = {}
         self.waiting: dict[int, _Waiting] = {}
         self.targets: list[TargetState] = []
 
@@ -214,8 +229,11 @@
         if outcome in UNSENT and flight.repeat:
             service.budget.give_back(now)
         if outcome is Outcome.ANSWERED and message.answer_bytes:
-            size_kb = message.answer_bytes / 1000
-            service.answer_kb += _SIZE_WEIGHT * (size_kb - service.answer_kb)
+            known_kb = service.kb_by_route.get(flight.route, _ANSWER_KB)
+            size_kb = message.answer_bytes / 1000 + _EXCHANGE_KB
+            service.kb_by_route[flight.route] = known_kb + _SIZE_WEIGHT * (
+                size_kb - known_kb
+            )
         latency_s = message.latency_ms / 1000
         state.end(flight, outcome, latency_s, service.latencies, now)
         return self._serve_waiting(service, now)
@@ -276,8 +294,8 @@
         """Take over another placement's doubts."""
         for target in targets:
             state = self._targets_by_id.get(target)
-            if state is not None and now - state.last_answer > 1:
-                state.belief.failed(now)
+            if state is not None and now - state.last_answer > _OWN_FRESH_S:
+                state.belief.doubt(now)
 
     def snapshot(self, now: float) -> list[dict[str, Any]]:
         """Return the state of each target for operators."""
@@ -315,7 +333,8 @@
         if request.purpose == Purpose.REPLACE:
             return None
         if request.purpose == Purpose.REPEAT:
-            if service.budget.take(now):
+            reserve = 0 if request.unsafe else _REPEAT_RESERVE_PART
+            if service.budget.take(now, reserve):
                 return None
             return Refused(request.permit, NO_RETRY_LEFT, _RETRY_BUDGET_MS)
         service.budget.count_request(now)
@@ -341,16 +360,40 @@
         if tested is not None or not usable:
             return tested
         waited_s = now - entry.arrived + request.waited_ms / 1000
-        aim_s = request.aim_ms / 1000
-        cost_of = partial(self._cost, request, service, aim_s - waited_s, now)
+        aim_left_s = request.aim_ms / 1000 - waited_s
+        cost_of = partial(self._cost, request, service, aim_left_s, now)
         best_cost, _, best = min(
             (cost_of(state), place, state) for place, state in enumerate(usable)
         )
-        if waited_s < _WAIT_PART * aim_s and len(usable) < len(allowed):
-            full = (state for state in allowed if state not in usable)
-            if min(map(cost_of, full)) + _WAIT_COST < best_cost:
-                return None
-        return best
+        if len(usable) == len(allowed):
+            return best
+        full_cost = min(
+            cost_of(state) for state in allowed if state.free_slots() <= 0
+        )
+        patience = self._patience(entry, service, aim_left_s, now)
+        return best if best_cost <= full_cost + patience else None
+
+    def _patience(
+        self,
+        entry: _Waiting,
+        service: _ServiceState,
+        aim_left_s: float,
+        now: float,
+    ) -> float:
+        """Return the extra cost at which waiting ends.
+
+        A request that can still meet its aim waits for a target that is
+        better by little; one that is late, for one that is better by much;
+        and one that must start now, for none.
+        """
+        usual_s = service.latencies.quantile(0.5)
+        if now + _LAST_CHANCE * usual_s > entry.deadline:
+            return math.inf
+        request = entry.request
+        spent = 1 - aim_left_s * 1000 / request.aim_ms
+        if request.may_repeat and spent > _WAIT_PART:
+            return math.inf
+        return _WAIT_COST + _WAIT_COST_GROWTH * max(0, spent)
 
     def _loss(self, request: Acquire) -> float:
         if request.unsafe:
@@ -371,7 +414,7 @@
         cost = self._loss(request) * bad
         cost += _SHARED_TARGET_COST * len(state.flights)
         if state.record.zone != request.zone:
-            cost += self._costs['cross_zone_cost_per_kb'] * service.answer_kb
+            cost += self._crossing_cost(request, service)
         if not state.has_connection(request.host, now):
             cost += _CONNECTION_COST
         expected_s = state.slowness(now) * service.latencies.quantile(0.75)
@@ -379,6 +422,10 @@
         cost += _LATE_COST * min(2, max(0, spare))
         return cost + 0.01 * self._rng.random()
 
+    def _crossing_cost(self, request: Acquire, service: _ServiceState) -> float:
+        size_kb = service.kb_by_route.get(request.route, _ANSWER_KB)
+        return self._costs['cross_zone_cost_per_kb'] * size_kb
+
     def _to_test(
         self,
         request: Acquire,
@@ -400,8 +447,7 @@
             and state.probability_bad(now, service.latencies) > _TEST_ABOVE
         ]
         near = [state for state in due if state.record.zone == request.zone]
-        crossing = service.answer_kb * self._costs['cross_zone_cost_per_kb']
-        if crossing > _TEST_CROSSING_MOST:
+        if self._crossing_cost(request, service) > _TEST_CROSSING_MOST:
             due = near
         return min(near or due, key=lambda state: state.last_sent, default=None)
 
@@ -419,7 +465,7 @@
             request.unsafe,
             now,
             entry.deadline + _RELEASE_SLACK_S,
-            request.workspace,
+            request.route,
             request.service,
             request.purpose == Purpose.REPEAT,
         )
@@ -480,7 +526,10 @@
         sent: Sent = []
         misses = 0
         usual_s = service.latencies.quantile(0.5)
-        ranked = sorted(service.waiting.values(), key=partial(_rank, now))
+        in_time_s = service.latencies.quantile(_IN_TIME_QUANTILE)
+        ranked = sorted(
+            service.waiting.values(), key=partial(_rank, in_time_s, now)
+        )
         for entry in ranked:
             permit, host = entry.request.permit, entry.request.host
             if now + usual_s > entry.deadline:
@@ -513,7 +562,11 @@
             self._quota.give_back(request.workspace)
 
 
-def _rank(now: float, entry: _Waiting) -> tuple[int, bool, float]:
+def _rank(
+    usual_s: float, now: float, entry: _Waiting
+) -> tuple[bool, int, float]:
+    """Sort those that can meet their aim before those that cannot."""
     request = entry.request
-    waited_ms = (now - entry.arrived) * 1000 + request.waited_ms
-    return request.priority, waited_ms > request.aim_ms, entry.arrived
+    spent_s = now - entry.arrived + request.waited_ms / 1000
+    late = spent_s + usual_s > request.aim_ms / 1000
+    return late, request.priority, entry.arrived
--- a/oleanderridge/dispatch/target_state.py
+++ b/oleanderridge/dispatch/target_state.py
@@ -29,7 +29,7 @@
     unsafe: bool
     started: float
     expires: float
-    workspace: str
+    route: str
     service: str
     repeat: bool
 
--- a/oleanderridge/forward/gateway_request.py
+++ b/oleanderridge/forward/gateway_request.py
@@ -48,6 +48,9 @@
 
 # Time that the answer needs on its way back to the caller.
 _RETURN_S: Final = 0.02
+# Time from a caller's first try to its request here: a new connection and
+# the request itself, and the answer's way back.
+_CALLER_PATH_S: Final = 0.03
 # A send with less time than this cannot be answered.
 _LEAST_LEFT_S: Final = 0.01
 # Sends that did not run, beyond the attempts that the route allows.
@@ -267,19 +270,20 @@
         route = request.route
         attempts_left = route.max_attempts - request.may_have_run()
         settings = self._ports.settings
-        waited_s = _now() - request.inbound.received_at
+        waited_s = _now() - request.inbound.received_at + _CALLER_PATH_S
         return Acquire(
             number,
             settings['address'],
             settings['zone'],
             request.service,
+            route.name,
             request.workspace.name if request.workspace else '',
             priority_of(route, request.workspace),
             route.kind != SAFE,
             purpose,
             route.kind == SAFE and attempts_left > 1,
             int(left_s * 1000),
-            int(route.aim_s * 1000),
+            max(1, int(route.aim_s * 1000)),
             int(waited_s * 1000),
             [each.target for each in request.sent],
         )
--- a/oleanderridge/gateway/fleet_sync.py
+++ b/oleanderridge/gateway/fleet_sync.py
@@ -32,6 +32,8 @@
 _RELAY_HEAD_START_S: Final = 0.25
 # Hosts that do not lead are asked for their list of hosts this rarely.
 _MERGE_EVERY_S: Final = 1.0
+# A host that knows no other asks its seeds at this interval.
+_ALONE_BEAT_S: Final = 0.08
 
 
 class FleetSync:
@@ -79,9 +81,10 @@
         """Beat until cancelled."""
         while True:
             self.beat()
-            await asyncio.sleep(
-                self._peers['beat_s'] * self._rng.uniform(0.9, 1.1)
-            )
+            pause_s = self._peers['beat_s'] * self._rng.uniform(0.9, 1.1)
+            if not self._roster.others():
+                pause_s = min(pause_s, _ALONE_BEAT_S)
+            await asyncio.sleep(pause_s)
 
     def beat(self) -> None:
         """Beat to the hosts whose turn it is."""
@@ -136,6 +139,7 @@
         if beat.reply_wanted:
             reply = self._message(now, reply_wanted=False)
             self._datagrams.send(beat.host, reply)
+        self._meet(beat, now)
         self._compare(beat, now)
 
     def answer_sync(self, request: SyncRequest) -> SyncReply:
@@ -171,7 +175,8 @@
         others = self._roster.others()
         if not others:
             return set(self._seeds) - {self._roster.host}
-        if self._beats % _WIDER_EVERY:
+        leads = self._leader == self._roster.host
+        if self._beats % _WIDER_EVERY and not leads:
             return set()
         pool = [*self._seeds, self._rng.choice(others)]
         return {self._rng.choice(pool)} - {self._roster.host}
@@ -179,7 +184,8 @@
     def _message(self, now: float, *, reply_wanted: bool) -> Beat:
         roster = self._roster
         avoid = []
-        if not reply_wanted and self._leader == roster.host:
+        leader = roster.leading(now)
+        if not reply_wanted and leader.host == roster.host:
             avoid = self.avoid()
         return Beat(
             roster.host,
@@ -192,9 +198,19 @@
             roster.digest(now),
             self._beliefs.age_ms(now),
             reply_wanted,
+            leader.host,
+            leader.incarnation,
             avoid,
         )
 
+    def _meet(self, beat: Beat, now: float) -> None:
+        """Turn to a leader that outranks the own one, if it answers."""
+        if self._roster.is_outranked_by(
+            beat.leader, beat.leader_incarnation, now
+        ):
+            message = self._message(now, reply_wanted=True)
+            self._datagrams.send(beat.leader, message)
+
     def _compare(self, beat: Beat, now: float) -> None:
         leads = beat.host == self._roster.leader(now)
         if leads and isinstance(beat.avoid, list) and beat.avoid:
--- a/oleanderridge/gateway/process.py
+++ b/oleanderridge/gateway/process.py
@@ -106,6 +106,10 @@
             lambda: self._beliefs.age_ms(_now()),
         )
         self._public = Edge(pages.handle, EdgeLimits())
+        self._sync.avoid = lambda: self._placement.doubtful(_now())
+        self._sync.on_avoid = lambda targets: self._placement.distrust(
+            targets, _now()
+        )
         self._stopping = asyncio.Event()
         self._tasks: set[asyncio.Task] = set()
         self._failed = False
--- a/oleanderridge/gateway/target_table.py
+++ b/oleanderridge/gateway/target_table.py
@@ -106,7 +106,8 @@
             if until <= now
         ]
         for target in due:
-            self.remove(target, self.revision)
+            known = self.by_id[target].revision
+            self.remove(target, max(self.revision, known))
         return due
 
     def advance(self, revision: int) -> None:
--- a/oleanderridge/health/belief.py
+++ b/oleanderridge/health/belief.py
@@ -21,6 +21,9 @@
 # A target that nothing is known of is more likely good.
 _NEW: Final = 0.1
 
+# A target that another host doubts.
+_DOUBTED: Final = 0.7
+
 # Likelihood of an observation in the bad state over that in the good one.
 _RATIO_ANSWERED: Final = 0.28
 _RATIO_ERROR: Final = 12.0
@@ -29,7 +32,7 @@
 # Share of requests that a bad target leaves unanswered.
 _HANGS_WHEN_BAD: Final = 0.7
 
-_LEAST: Final = 0.003
+_LEAST: Final = 0.01
 _MOST: Final = 0.995
 
 # Latency classes: from 2 ms, each 12% wider than the one before.
@@ -146,6 +149,11 @@
         """Take in a request that got no answer in time."""
         self._observe(now, _RATIO_HUNG)
 
+    def doubt(self, now: float) -> None:
+        """Take over that another host holds the target for bad."""
+        self._probability = max(self._settled(now), _DOUBTED)
+        self._at = now
+
     def unreached(self, now: float) -> None:
         """Take in a connection that could not be opened."""
         self._observe(now, _RATIO_UNREACHED)
--- a/oleanderridge/http1/server.py
+++ b/oleanderridge/http1/server.py
@@ -268,12 +268,9 @@
         try:
             reply = await self._edge.handler(inbound)
         except Exception:
-            log_event(
-                _LOGGER,
+            _LOGGER.exception(
                 'request-handler-failed',
-                logging.ERROR,
-                exc_info=True,
-                target=inbound.target.decode('latin-1'),
+                extra={'target': inbound.target.decode('latin-1')},
             )
             reply = Reply(502, [], b'')
         finally:
@@ -306,12 +303,8 @@
         try:
             content = b''.join(self._http.send(each) or b'' for each in events)
         except h11.LocalProtocolError:
-            log_event(
-                _LOGGER,
-                'answer-not-writable',
-                logging.ERROR,
-                exc_info=True,
-                status=reply.status,
+            _LOGGER.exception(
+                'answer-not-writable', extra={'status': reply.status}
             )
             self._transport.abort()
             return
--- a/oleanderridge/membership/roster.py
+++ b/oleanderridge/membership/roster.py
@@ -21,7 +21,7 @@
 # A host that has asked a silent one for so many beats turns away from it.
 _BEATS_UNANSWERED: Final = 3
 # Fewest hosts that a host assumes before it has heard of any.
-_HOSTS_ASSUMED: Final = 12
+_HOSTS_ASSUMED: Final = 24
 
 
 class RosterMember(NamedTuple):
@@ -155,10 +155,42 @@
 
     def leader(self, now: float) -> str:
         """Return the host that places the requests of all."""
+        return self.leading(now).host
+
+    def leading(self, now: float) -> RosterMember:
+        """Return the entry of the host that places the requests of all."""
         for member in self.alive(now):
             if not self._is_unanswering(member.host, now):
-                return member.host
-        return self.host
+                return member
+        return self.me(now)
+
+    def is_outranked_by(self, host: str, incarnation: int, now: float) -> bool:
+        """Return whether another's leader should lead this host, too.
+
+        Parameters
+        ----------
+        host : str
+            The other's leader.
+        incarnation : int
+            Its incarnation.
+        now : float
+            Monotonic seconds.
+
+        Returns
+        -------
+        bool
+            False for hosts that are known to be silent or to rank lower.
+        """
+        leader = self.leading(now)
+        if host in (self.host, leader.host):
+            return False
+        known = self._by_host.get(host)
+        if known is not None and self._is_alive(known, now):
+            return False
+        if self._is_unanswering(host, now):
+            return False
+        outranks = (incarnation, host) < (leader.incarnation, leader.host)
+        return outranks or leader.state != READY
 
     def relay(self, now: float) -> str:
         """Return the host of this zone that reads the store for it."""
--- a/oleanderridge/telemetry/bounded_log.py
+++ b/oleanderridge/telemetry/bounded_log.py
@@ -104,9 +104,9 @@
     handler = BoundedLog(1)
     handler.setFormatter(
         KeyValueFormatter(
-            '%(created)f %(levelname)s %(message)s',
+            '%(asctime)s %(levelname)s %(message)s',
             rename_fields={
-                'created': 'time',
+                'asctime': 'time',
                 'levelname': 'level',
                 'message': 'event',
             },
--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -79,6 +79,7 @@
             'host': '10.1.0.1',
             'zone': 'z1',
             'service': 'lookup',
+            'route': 'r',
             'workspace': '',
             'priority': 1,
             'unsafe': False,
--- /dev/null
+++ b/tests/test_follower.py
@@ -0,0 +1,192 @@
+"""The store is followed through outages, lapses and lost history."""
+
+import asyncio
+from contextlib import asynccontextmanager
+
+from aiohttp import web
+
+from bench import platform
+from oleanderridge.config.follower import FollowerPorts, StoreFollower
+from oleanderridge.gateway.target_table import TargetTable
+from oleanderridge.platform.store import StoreClient
+from tests.gateway_world import gateway_settings
+
+_ENTRY = (
+    b'{"service":"s","address":"127.0.0.1:%d","zone":"z1","version":"v1",'
+    b'"slots":2,"state":"%s","warmup_left_s":0,"sequence":4,"born":1}'
+)
+
+
+def _entry(port=1, state=b'ready'):
+    return _ENTRY % (port, state)
+
+
+class _World:
+    """A follower of a stand-in store."""
+
+    def __init__(self, state, address):
+        self.store = state
+        self.table = TargetTable()
+        self.documents = []
+        self.words = 0
+        settings = gateway_settings(
+            f'store: {{address: "{address}", wait_s: 0.2, timeout_s: 0.2, '
+            'return_grace_s: 0.6}',
+            without='store',
+        )
+        self.client = StoreClient(address, 0.2)
+        self.follower = StoreFollower(
+            settings,
+            self.client,
+            self.table,
+            FollowerPorts(
+                self.documents.append,
+                lambda: None,
+                self._on_word,
+                lambda: True,
+            ),
+        )
+
+    def _on_word(self):
+        self.words += 1
+
+    async def until(self, condition, timeout_s=3.0):
+        async with asyncio.timeout(timeout_s):
+            while not condition():
+                self.table.lapse(asyncio.get_running_loop().time())
+                await asyncio.sleep(0.01)
+
+
+@asynccontextmanager
+async def _world():
+    app = platform.build_app()
+    runner = web.AppRunner(app, handler_cancellation=True)
+    await runner.setup()
+    site = web.TCPSite(runner, '127.0.0.1', 0)
+    await site.start()
+    port = site._server.sockets[0].getsockname()[1]
+    world = _World(app[platform.STATE], f'127.0.0.1:{port}')
+    task = asyncio.create_task(world.follower.run())
+    try:
+        yield world
+    finally:
+        task.cancel()
+        await world.client.close()
+        app[platform.STATE].set_mode('down')
+        await runner.cleanup()
+
+
+def _run(scenario):
+    async def run():
+        async with _world() as world:
+            await scenario(world)
+
+    asyncio.run(run())
+
+
+def test_targets_and_documents_arrive_in_pages_and_as_changes():
+    """Guards against a list of which only the first page is read."""
+
+    async def scenario(world):
+        for place in range(120):
+            world.store.set_value(f'servers/i-{place}', _entry(place + 1))
+        world.store.set_value('op/config', b'one')
+        await world.until(lambda: len(world.table.by_id) == 120)
+        assert world.documents[-1] == b'one'
+        world.store.set_value('op/config', b'two')
+        world.store.set_value('servers/i-3', _entry(4, b'draining'))
+        await world.until(lambda: world.table.by_id['i-3'].state == 'draining')
+        await world.until(lambda: world.documents[-1] == b'two')
+        world.store.remove_value('servers/i-5')
+        await world.until(lambda: 'i-5' not in world.table.by_id)
+
+    _run(scenario)
+
+
+def test_a_malformed_entry_names_no_target_and_harms_no_other():
+    """Guards against one writer's bytes that stop the whole list."""
+
+    async def scenario(world):
+        world.store.set_value('servers/i-0', b'\xff\x00')
+        world.store.set_value('servers/i-1', b'{"service": 4}')
+        world.store.set_value('servers/i-2', _entry(2, b'asleep'))
+        world.store.set_value('servers/i-3', _entry(3))
+        world.store.set_value('servers/other', b'[]')
+        await world.until(lambda: 'i-3' in world.table.by_id)
+        assert set(world.table.by_id) == {'i-3'}
+
+    _run(scenario)
+
+
+def test_a_dropped_history_is_read_again_as_a_list():
+    """Guards against changes that a dropped history hides for good."""
+
+    async def scenario(world):
+        for place in range(3):
+            world.store.set_value(f'servers/i-{place}', _entry(place + 1))
+        await world.until(lambda: len(world.table.by_id) == 3)
+        world.store.set_mode('paused')
+        await asyncio.sleep(0.3)
+        world.store.values.pop('servers/i-1')
+        world.store.revision += 5
+        world.store.forget_history()
+        world.store.set_mode('up')
+        world.store.set_value('servers/i-9', _entry(9))
+        await world.until(
+            lambda: set(world.table.by_id) == {'i-0', 'i-2', 'i-9'}
+        )
+
+    _run(scenario)
+
+
+def test_entries_that_lapsed_with_the_store_away_are_given_time():
+    """Guards against an empty fleet after each outage of the store."""
+
+    async def scenario(world):
+        for place in range(3):
+            world.store.set_value(f'servers/i-{place}', _entry(place + 1))
+        await world.until(lambda: len(world.table.by_id) == 3)
+        loop = asyncio.get_running_loop()
+        world.store.set_mode('down')
+        await asyncio.sleep(0.8)
+        for place in range(3):
+            world.store.remove_value(f'servers/i-{place}')
+        world.store.set_mode('up')
+        back_at = loop.time()
+        seen = world.words
+        await world.until(lambda: world.words > seen)
+        assert len(world.table.by_id) == 3
+        world.store.set_value('servers/i-1', _entry(2))
+        await world.until(lambda: set(world.table.by_id) == {'i-1'})
+        assert loop.time() - back_at > 0.5
+
+    _run(scenario)
+
+
+def test_a_busy_store_is_asked_less_often():
+    """Guards against a flood of calls to a store that turns them away."""
+
+    async def scenario(world):
+        world.store.set_mode('busy')
+        await asyncio.sleep(1.5)
+        before = sum(world.store.calls.values())
+        await asyncio.sleep(1.5)
+        assert sum(world.store.calls.values()) - before <= 3
+
+    _run(scenario)
+
+
+def test_a_silent_store_does_not_hold_the_follower():
+    """Guards against a connection that went silent for good."""
+
+    async def scenario(world):
+        world.store.set_value('servers/i-1', _entry(1))
+        await world.until(lambda: world.table.by_id)
+        world.store.set_mode('paused')
+        await asyncio.sleep(0.7)
+        assert not world.follower.reachable
+        world.store.set_mode('up')
+        world.store.set_value('servers/i-2', _entry(2))
+        await world.until(lambda: len(world.table.by_id) == 2)
+
+    _run(scenario)
--- /dev/null
+++ b/tests/test_gateway_parts.py
@@ -0,0 +1,231 @@
+"""Rates, budgets, targets and documents of a gateway host."""
+
+import json
+from random import Random
+
+import pytest
+
+from oleanderridge.admission.quota import FleetQuota
+from oleanderridge.dispatch.retry_budget import RetryBudget
+from oleanderridge.gateway.beliefs import Beliefs
+from oleanderridge.gateway.model import RouteRule, Share, find_route
+from oleanderridge.gateway.settings import parse_gateway_settings
+from oleanderridge.gateway.shares import ShareCounter
+from oleanderridge.gateway.target_table import TargetTable
+from oleanderridge.platform.records import decode_configuration, decode_target
+from tests.gateway_world import LINES, gateway_settings, record, workspace
+
+
+def _document(version='r7', **route):
+    spec = {
+        'host': 'H.example',
+        'prefix': '/a/',
+        'type': 'safe',
+        'timeout_s': 2,
+        'target_latency_s': 0.4,
+        'priority': 2,
+        'service': 's',
+        'max_attempts': 2,
+    }
+    return {
+        'version': version,
+        'resources': [
+            {
+                'resource_type': 'routes',
+                'metadata': {'name': 'r1'},
+                'spec': spec | route,
+            },
+            {
+                'resource_type': 'routes',
+                'metadata': {'name': 'r2'},
+                'spec': spec | {'prefix': '/a/b/', 'type': 'unsafe'},
+            },
+            {
+                'resource_type': 'tenants',
+                'metadata': {'name': 'w'},
+                'spec': {'api_keys': ['k'], 'rate_per_s': 5, 'burst': 6},
+            },
+            {
+                'resource_type': 'limits',
+                'metadata': {},
+                'spec': {'max_body_bytes': 10, 'idle_timeout_s': 9},
+            },
+            {'resource_type': 'later', 'metadata': {}, 'spec': {}},
+        ],
+    }
+
+
+def _bytes(document):
+    return json.dumps(document).encode()
+
+
+def test_a_configuration_is_read_whole():
+    """Guards against fields that are lost on the way in."""
+    read = decode_configuration(_bytes(_document())).unwrap()
+    assert read.version == 7
+    assert find_route(read, 'h.example', '/a/b/c').name == 'r2'
+    assert find_route(read, 'h.example', '/a/x').kind == 'safe'
+    assert find_route(read, 'h.example', '/b/') is None
+    assert read.workspace_by_key['k'].rate == 5
+    assert read.limits.body_bytes == 10
+    assert read.limits.header_bytes == 16384
+
+
+def test_a_route_of_an_unknown_kind_runs_once_at_most():
+    """Guards against repeats of requests whose kind is new."""
+    read = decode_configuration(_bytes(_document(type='later'))).unwrap()
+    assert find_route(read, 'h.example', '/a/x').kind == 'unsafe'
+
+
+@pytest.mark.parametrize(
+    ('change', 'path'),
+    [
+        ({'timeout_s': '2'}, '$.resources[0].spec.timeout_s'),
+        ({'host': None}, '$.resources[0].spec.host'),
+        ({'weighted_services': 3}, '$.resources[0].spec.weighted_services'),
+        (
+            {'weighted_services': [{'service': 's'}]},
+            '$.resources[0].spec.weighted_services[0].weight',
+        ),
+    ],
+)
+def test_a_faulty_configuration_is_refused_with_its_place(change, path):
+    """Guards against half a configuration in force."""
+    [finding] = decode_configuration(_bytes(_document(**change))).unwrap_err()
+    assert finding.path == path
+
+
+def test_a_lower_version_and_a_faulty_one_leave_the_one_in_force():
+    """Guards against a host that goes back to older rules."""
+    taken = []
+    beliefs = Beliefs(taken.append, lambda: None)
+    beliefs.offer(_bytes(_document('r7')), 'store')
+    beliefs.offer(_bytes(_document('r6')), 'peer')
+    beliefs.offer(_bytes(_document('x8')), 'peer')
+    beliefs.offer(b'{', 'peer')
+    assert [each.version for each in taken] == [7]
+    beliefs.offer(_bytes(_document('r9')), 'peer')
+    assert beliefs.version() == 9
+
+
+@pytest.mark.parametrize(
+    'change',
+    [
+        {'slots': '2'},
+        {'slots': True},
+        {'slots': 0},
+        {'state': 'asleep'},
+        {'address': 'nowhere'},
+        {'service': None},
+        {'warmup_left_s': None},
+    ],
+)
+def test_an_entry_with_a_field_of_another_type_names_no_target(change):
+    """Guards against sending to an entry of another writer."""
+    fields = {
+        'service': 's',
+        'address': '10.0.0.1:80',
+        'zone': 'z',
+        'version': 'v1',
+        'slots': 2,
+        'state': 'ready',
+        'warmup_left_s': 0,
+        'sequence': 1,
+        'born': 5,
+    }
+    assert decode_target('servers/i', _bytes(fields), 3).is_ok()
+    assert decode_target('servers/i', _bytes(fields | change), 3).is_err()
+
+
+def test_the_newest_word_on_a_target_wins_whatever_its_way():
+    """Guards against a peer's older word that revives a target."""
+    table = TargetTable()
+    assert table.put(record('a', revision=5))
+    assert not table.put(record('a', revision=4, state='draining'))
+    assert table.remove('a', 8)
+    assert not table.put(record('a', revision=7))
+    assert table.put(record('a', revision=9))
+    assert not table.remove('a', 8)
+
+
+def test_changes_since_a_revision_give_the_same_table():
+    """Guards against tables that differ after an exchange of changes."""
+    left, right = TargetTable(), TargetTable()
+    for place in range(5):
+        left.put(record(f't{place}', revision=place + 1))
+    left.advance(5)
+    right.replace(left.since(0)[0], left.revision)
+    left.remove('t3', 7)
+    left.put(record('t1', revision=8, state='draining'))
+    left.advance(8)
+    records, removed = left.since(right.revision)
+    for each in records:
+        right.put(each)
+    for target in removed:
+        right.remove(target, left.revision)
+    assert left.digest == right.digest
+
+
+def test_a_postponed_removal_is_cancelled_by_a_new_statement():
+    """Guards against removing a target that came back in time."""
+    table = TargetTable()
+    table.put(record('a', revision=5))
+    table.put(record('b', revision=5))
+    table.postpone_removal('a', 10)
+    table.postpone_removal('b', 10)
+    table.put(record('a', revision=6))
+    assert table.lapse(9) == []
+    assert table.lapse(10) == ['b']
+    assert set(table.by_id) == {'a'}
+
+
+def test_parts_of_a_rate_add_up_to_the_rate():
+    """Guards against hosts that hand out more than a rate between them."""
+    admitted = 0
+    hosts = [FleetQuota() for _ in range(10)]
+    for quota in hosts:
+        quota.configure({'w': workspace(rate=20, burst=20)})
+        quota.set_part(0.1)
+    for step in range(500):
+        now = 100 + step / 100
+        admitted += sum(quota.take('w', now).taken for quota in hosts)
+    assert 80 <= admitted <= 20 * 5 + 20 + len(hosts)
+
+
+def test_the_budget_counts_the_busiest_of_its_windows():
+    """Guards against refusing repeats that the operator allows."""
+    bounds = gateway_settings()['bounds']
+    budget = RetryBudget(bounds, 0)
+    for step in range(1000):
+        budget.count_request(100 + step / 100)
+    assert budget.left(119) > 0.8 * (0.2 * 900 + 50)
+    assert budget.left(135) < 50
+    taken = sum(budget.take(135 + step / 100) for step in range(200))
+    assert 30 < taken <= 50
+
+
+def test_weights_hold_over_few_requests():
+    """Guards against a split that is off its weights."""
+    route = RouteRule(
+        'r',
+        'h',
+        '/',
+        'safe',
+        1,
+        1,
+        1,
+        2,
+        False,
+        (Share('a', 90), Share('b', 10)),
+    )
+    counter = ShareCounter(Random(3))
+    chosen = [counter.next_service(route) for _ in range(200)]
+    assert 18 <= chosen.count('b') <= 22
+
+
+def test_faulty_settings_are_reported_with_their_place():
+    """Guards against a host that starts with half of its settings."""
+    text = '\n'.join(LINES).replace('"127.0.0.1:7005"', '"nowhere:1"')
+    [finding] = parse_gateway_settings(text, 'g.yaml').unwrap_err()
+    assert finding.path == '$.store.address'
+    assert finding.line == 8
--- /dev/null
+++ b/tests/test_roster.py
@@ -0,0 +1,92 @@
+"""Hosts agree on who leads, and nobody's loss stops the others."""
+
+from oleanderridge.generated.fleet import Beat
+from oleanderridge.membership.roster import LEAVING, READY, Roster
+from tests.gateway_world import gateway_settings
+
+
+def _beat(host, incarnation=1, state=READY, zone='z1', leader=''):
+    return Beat(host, zone, incarnation, state, 1, 1, 0, 0, 0, False, leader, 0)
+
+
+def _roster(incarnation=5):
+    roster = Roster(gateway_settings(), incarnation)
+    roster.state = READY
+    return roster
+
+
+def test_the_oldest_ready_host_leads():
+    """Guards against a restarted host that takes over with no evidence."""
+    roster = _roster()
+    roster.on_beat(_beat('10.0.0.2', 3), 10)
+    roster.on_beat(_beat('10.0.0.3', 9), 10)
+    assert roster.leader(10) == '10.0.0.2'
+
+
+def test_a_leaving_or_silent_host_does_not_lead():
+    """Guards against requests that wait for a host that is gone."""
+    roster = _roster()
+    roster.on_beat(_beat('10.0.0.2', 3), 10)
+    assert roster.leader(10.5) == '10.0.0.2'
+    assert roster.leader(12) == '127.0.0.1'
+    roster.on_beat(_beat('10.0.0.2', 3, LEAVING), 13)
+    assert roster.leader(13) == '127.0.0.1'
+
+
+def test_a_leader_that_does_not_answer_this_host_is_passed_over():
+    """Guards against a leader that others hear and this host does not."""
+    roster = _roster()
+    roster.on_beat(_beat('10.0.0.2', 3), 10)
+    roster.note_asked('10.0.0.2', 10.1)
+    roster.merge(
+        [entry for entry in roster.entries(10) if entry.host == '10.0.0.2'],
+        11,
+        whole=False,
+    )
+    roster.vouch(11.1)
+    assert roster.leader(10.5) == '10.0.0.2'
+    assert roster.leader(11.3) == '127.0.0.1'
+    roster.on_beat(_beat('10.0.0.2', 3), 11.4)
+    assert roster.leader(11.5) == '10.0.0.2'
+
+
+def test_a_host_that_is_away_still_counts_against_shares():
+    """Guards against rates that grow while a part is cut off and serves."""
+    roster = _roster()
+    for place in range(9):
+        roster.on_beat(_beat(f'10.0.0.{place + 2}', 9), 10)
+    assert roster.part_of_fleet(10) == 1
+    assert roster.part_of_fleet(13) == 0.1
+    assert roster.known(40) == 1
+
+
+def test_a_host_that_knows_nobody_takes_a_small_share():
+    """Guards against every restarted host handing out a whole rate."""
+    assert _roster().part_of_fleet(10) < 0.1
+
+
+def test_an_older_process_of_a_host_is_ignored():
+    """Guards against a late datagram of a process that was replaced."""
+    roster = _roster()
+    roster.on_beat(_beat('10.0.0.2', 7), 10)
+    roster.on_beat(_beat('10.0.0.2', 3), 10.1)
+    assert roster.leader(10.2) == '127.0.0.1'
+
+
+def test_the_leaders_list_silences_hosts_that_it_does_not_hear():
+    """Guards against a dead host that stays in answers to callers."""
+    roster = _roster()
+    roster.on_beat(_beat('10.0.0.2', 3), 10)
+    roster.on_beat(_beat('10.0.0.3', 9), 8.9)
+    entries = [each for each in roster.entries(10) if each.host != '10.0.0.3']
+    roster.merge(entries, 10.05, whole=True)
+    assert '10.0.0.3' not in [each.host for each in roster.ready(10.15)]
+
+
+def test_a_better_leader_that_another_names_is_worth_asking():
+    """Guards against two leaders that last after a common restart."""
+    roster = _roster()
+    roster.on_beat(_beat('10.0.0.4', 4), 10)
+    assert roster.is_outranked_by('10.0.0.2', 3, 10)
+    assert not roster.is_outranked_by('10.0.0.9', 6, 10)
+    assert not roster.is_outranked_by('10.0.0.4', 4, 10)
