Bound what a bucket refills besides the rate

Cause: with a burst far above the rate the refill of a window could pass the operator's tolerance, more so when the placing host changes. Change: at most 15% of a window is refilled, a new placing host begins with a quarter of the burst.

--- a/oleanderridge/admission/quota.py
+++ b/oleanderridge/admission/quota.py
@@ -9,8 +9,11 @@
 
 # A host that begins to stand for much of the fleet does not know what its
 # predecessor handed out; small parts are whole at once.
-_LEVEL_OF_NEW: Final = 0.5
+_LEVEL_OF_NEW: Final = 0.25
 _SMALL_PART: Final = 0.5
+# Part of what a window may hold that is refilled besides the rate; the rest
+# of the operator's tolerance covers changes of the placing host.
+_AGAIN_PART: Final = 0.15
 # A workspace with less of its burst left than this is near its rate.
 _PRESSED_PART: Final = 0.5
 # Parts of a rate that a host which places alone may hand out to a workspace
@@ -129,7 +132,9 @@
         return min(1, self._part * _RELAXED_PARTS)
 
     def _refill(self, workspace: Workspace) -> float:
-        return workspace.rate + workspace.burst / self._window_s
+        in_window = workspace.rate * self._window_s + workspace.burst
+        again = min(workspace.burst, _AGAIN_PART * in_window)
+        return workspace.rate + again / self._window_s
 
     def _filled(self, workspace: Workspace, now: float) -> _Bucket:
         part = self._part_of(workspace.name)
