--- /dev/null
+++ b/oleanderridge/forward/gateway_answers.py
@@ -0,0 +1,92 @@
+"""Judges the answers of targets and builds the refusals of a host."""
+
+from __future__ import annotations
+
+from typing import Final, NamedTuple, TypeGuard
+
+from oleanderridge.gateway.outcomes import Outcome
+from oleanderridge.http1.client import Answer
+from oleanderridge.http1.messages import Reply, header
+from oleanderridge.platform.headers import (
+    caller_headers,
+    is_signed,
+    names_other_target,
+    refusal_headers,
+    says_not_run,
+)
+
+SUCCESS: Final = range(200, 300)
+
+_FAILURE_STATUS: Final = 500
+# Statuses that promise a caller that its request did not run.
+_NOT_RUN_STATUSES: Final = frozenset((408, 421, 429, 503))
+
+
+class Ended(NamedTuple):
+    """How a request ends, and why."""
+
+    reply: Reply
+    reason: str
+
+
+def judge(answer: Answer) -> Outcome:
+    """Return what a whole answer says of its send.
+
+    Parameters
+    ----------
+    answer : Answer
+        A target's answer to the request that was sent.
+
+    Returns
+    -------
+    Outcome
+        ``GARBLED`` for a success that is not the target's own bytes.
+    """
+    if says_not_run(answer.status, answer.headers):
+        if names_other_target(answer.status):
+            return Outcome.OTHER_TARGET
+        return Outcome.SHED
+    if header(answer.headers, b'content-encoding') is not None:
+        return Outcome.GARBLED
+    if answer.status in SUCCESS and not is_signed(answer.headers):
+        return Outcome.GARBLED
+    if answer.status in _NOT_RUN_STATUSES:
+        return Outcome.FAILED
+    if answer.status >= _FAILURE_STATUS:
+        return Outcome.FAILED
+    return Outcome.ANSWERED
+
+
+def is_passed_on(answer: Answer | None) -> TypeGuard[Answer]:
+    """Return whether a caller may get a target's failure as it is."""
+    # A target's 503 that does not state so may have run, so the status that
+    # promises otherwise stays here.
+    return answer is not None and answer.status not in _NOT_RUN_STATUSES
+
+
+def passed_on(answer: Answer) -> Reply:
+    """Return a target's answer as its caller gets it."""
+    headers = caller_headers(answer.headers, with_signature=True)
+    return Reply(answer.status, headers, answer.body)
+
+
+def refusal(
+    status: int, reason: str, retry_after_s: float | None = None
+) -> Ended:
+    """Return the end of a request that a host answers by itself.
+
+    Parameters
+    ----------
+    status : int
+        One that promises no more than is known.
+    reason : str
+        For logs and metrics.
+    retry_after_s : float or None
+        Seconds after which the caller may come back.
+
+    Returns
+    -------
+    Ended
+        Without a body.
+    """
+    return Ended(Reply(status, refusal_headers(retry_after_s), b''), reason)
--- a/oleanderridge/forward/gateway_request.py
+++ b/oleanderridge/forward/gateway_request.py
@@ -4,17 +4,29 @@
 
 import asyncio
 import logging
+import math
 from collections.abc import Callable
 from random import Random
-from typing import Any, Final, NamedTuple, TypeGuard
+from typing import Any, Final, NamedTuple
 
 from oleanderridge.dispatch.permit_client import PermitClient
 from oleanderridge.dispatch.placement import NO_RETRY_LEFT, RATE_EXCEEDED
+from oleanderridge.forward.gateway_answers import (
+    SUCCESS,
+    Ended,
+    is_passed_on,
+    judge,
+    passed_on,
+    refusal,
+)
+from oleanderridge.forward.gateway_progress import (
+    Flight,
+    RequestProgress,
+    Sent,
+)
 from oleanderridge.gateway.model import (
     SAFE,
     Configuration,
-    RouteRule,
-    Workspace,
     find_route,
     priority_of,
 )
@@ -34,11 +46,7 @@
     CallerTerms,
     SendTerms,
     answers_attempt,
-    caller_headers,
-    is_signed,
     read_caller_terms,
-    refusal_headers,
-    says_not_run,
     target_headers,
 )
 from oleanderridge.platform.interface import path_of
@@ -46,15 +54,11 @@
 
 _LOGGER = logging.getLogger(__name__)
 
-# Time that the answer needs on its way back to the caller.
-_RETURN_S: Final = 0.02
 # Time from a caller's first try to its request here: a new connection and
 # the request itself, and the answer's way back.
 _CALLER_PATH_S: Final = 0.03
 # A send with less time than this cannot be answered.
 _LEAST_LEFT_S: Final = 0.01
-# Sends that did not run, beyond the attempts that the route allows.
-_NOT_RUN_MAX: Final = 3
 # Pause before a request that a full target turned away is placed again.
 _SHED_PAUSE_S: Final = 0.03
 # A non-idempotent request uses a kept connection only if it was idle for
@@ -62,9 +66,7 @@
 _UNSAFE_IDLE_S: Final = 4.0
 # Retry times of refusals that carry none of the placement's own.
 _NOT_READY_RETRY_S: Final = 0.3
-_FAILURE_STATUS: Final = 500
-_SUCCESS: Final = range(200, 300)
-_NOT_RUN_STATUSES: Final = frozenset((408, 421, 429, 503))
+_DEADLINE: Final = 'deadline'
 
 _OUTCOME_BY_ERROR: Final = {
     NOT_SENT: Outcome.NOT_SENT,
@@ -75,21 +77,6 @@
 }
 
 
-class Sent(NamedTuple):
-    """One send and its end."""
-
-    target: str
-    outcome: Outcome
-    latency_s: float
-
-
-class Ended(NamedTuple):
-    """How a request ends, and why."""
-
-    reply: Reply
-    reason: str
-
-
 class Ports(NamedTuple):
     """What a forwarder needs of its host."""
 
@@ -102,79 +89,6 @@
     rng: Random
 
 
-class _Request:
-    """What is known of one request while it is under way."""
-
-    def __init__(
-        self,
-        inbound: Inbound,
-        terms: CallerTerms,
-        route: RouteRule,
-        workspace: Workspace | None,
-        service: str,
-        version: int,
-    ) -> None:
-        self.inbound = inbound
-        self.terms = terms
-        self.route = route
-        self.workspace = workspace
-        self.service = service
-        self.version = version
-        limit_s = route.timeout_s
-        if terms.deadline_s is not None:
-            limit_s = min(limit_s, terms.deadline_s - _RETURN_S)
-        self.limit_at = inbound.received_at + limit_s
-        self.sent: list[Sent] = []
-        self.in_flight = 0
-        self.last_answer: Answer | None = None
-        self.refused: Refused | None = None
-
-    def may_have_run(self) -> int:
-        """Return how many sends may have run at their target."""
-        return sum(1 for each in self.sent if each.outcome not in _NOT_RUN)
-
-    def purpose(self) -> Purpose:
-        """Return why the next slot is asked for."""
-        if not self.sent:
-            return Purpose.FIRST
-        arrived = any(
-            each.outcome is not Outcome.NOT_SENT
-            and each.outcome is not Outcome.UNUSED
-            for each in self.sent
-        )
-        return Purpose.REPEAT if arrived else Purpose.REPLACE
-
-    def may_send(self) -> bool:
-        """Return whether the route and the promises allow another send."""
-        ran = self.may_have_run()
-        if len(self.sent) - ran > _NOT_RUN_MAX:
-            return False
-        if self.route.kind != SAFE:
-            return ran == 0
-        return ran < self.route.max_attempts
-
-
-_NOT_RUN: Final = frozenset(
-    (
-        Outcome.NOT_SENT,
-        Outcome.SHED,
-        Outcome.UNUSED,
-        Outcome.OTHER_TARGET,
-    )
-)
-
-
-class _Flight:
-    """One send that is under way."""
-
-    def __init__(self, grant: Grant, started: float) -> None:
-        self.grant = grant
-        self.started = started
-        self.outcome = Outcome.CALLER_LEFT
-        self.detail = ''
-        self.answer_bytes = 0
-
-
 class GatewayForwarder:
     """Answers callers.
 
@@ -217,27 +131,29 @@
         self._log_end(begun, ended)
         return ended.reply
 
-    def _begin(self, inbound: Inbound, terms: CallerTerms) -> _Request | Ended:
+    def _begin(
+        self, inbound: Inbound, terms: CallerTerms
+    ) -> RequestProgress | Ended:
         configuration = self._ports.configuration()
         if configuration is None:
-            return _refusal(503, 'not-ready', _NOT_READY_RETRY_S)
+            return refusal(503, 'not-ready', _NOT_READY_RETRY_S)
         path = path_of(inbound.target)
         route = find_route(configuration, terms.host, path)
         if route is None:
-            return _refusal(404, 'no-route')
+            return refusal(404, 'no-route')
         workspace = None
         if terms.key is not None:
             workspace = configuration.workspace_by_key.get(terms.key)
         needs_key = configuration.workspaces_by_name and not route.is_open
         if workspace is None and needs_key:
-            return _refusal(401, 'key-unknown' if terms.key else 'key-missing')
+            return refusal(401, 'key-unknown' if terms.key else 'key-missing')
         service = self._shares.next_service(route)
-        return _Request(
+        return RequestProgress(
             inbound, terms, route, workspace, service, configuration.version
         )
 
     async def _on_caller_left(
-        self, request: _Request, work: asyncio.Future[Ended]
+        self, request: RequestProgress, work: asyncio.Future[Ended]
     ) -> Ended:
         if request.route.kind == SAFE or not request.in_flight:
             work.cancel()
@@ -247,7 +163,7 @@
             return Ended(Reply(502, [], b''), 'caller-left')
         return work.result()
 
-    async def _run(self, request: _Request) -> Ended:
+    async def _run(self, request: RequestProgress) -> Ended:
         permit = await self._acquire(request)
         while isinstance(permit, Grant):
             following = await self._send(request, permit)
@@ -257,18 +173,18 @@
         request.refused = permit
         return self._without_permit(request, permit)
 
-    async def _acquire(self, request: _Request) -> Grant | Refused:
+    async def _acquire(self, request: RequestProgress) -> Grant | Refused:
         asked = self._asked(request)
         if isinstance(asked, Refused):
             return asked
         return await self._ports.permits.acquire(asked)
 
-    def _asked(self, request: _Request) -> Acquire | Refused:
+    def _asked(self, request: RequestProgress) -> Acquire | Refused:
         purpose = request.purpose()
         left_s = request.limit_at - _now() - _LEAST_LEFT_S
         number = self._ports.permits.new_permit()
         if left_s <= 0:
-            return Refused(number, 'deadline', 0)
+            return Refused(number, _DEADLINE, 0)
         if purpose is Purpose.REPEAT and not request.may_send():
             return Refused(number, NO_RETRY_LEFT, 0)
         route = request.route
@@ -293,14 +209,14 @@
         )
 
     async def _send(
-        self, request: _Request, grant: Grant
+        self, request: RequestProgress, grant: Grant
     ) -> Grant | Refused | Ended:
         """Use a permit; return the end, or the permit for the next send."""
         if not self._may_use(request, grant):
             self._ports.permits.release(grant, Outcome.UNUSED, 0, 0)
             request.sent.append(Sent(grant.target, Outcome.UNUSED, 0))
             return await self._acquire(request)
-        flight = _Flight(grant, _now())
+        flight = Flight(grant, _now())
         exchange = asyncio.ensure_future(self._exchange(request, grant))
         request.in_flight += 1
         try:
@@ -318,7 +234,7 @@
             return self._answered(request)
         return await self._after_failure(request, flight.outcome)
 
-    def _end_send(self, request: _Request, flight: _Flight) -> None:
+    def _end_send(self, request: RequestProgress, flight: Flight) -> None:
         request.in_flight -= 1
         grant, outcome = flight.grant, flight.outcome
         latency_s = _now() - flight.started
@@ -329,7 +245,7 @@
         )
         self._log_send(request, flight, sent)
 
-    def _may_use(self, request: _Request, grant: Grant) -> bool:
+    def _may_use(self, request: RequestProgress, grant: Grant) -> bool:
         if self._ports.knows_leaving(grant.target):
             return False
         workspace, key = request.workspace, request.terms.key
@@ -339,7 +255,7 @@
         return configuration is None or key in configuration.workspace_by_key
 
     async def _until_moved(
-        self, request: _Request, grant: Grant, exchange: asyncio.Future
+        self, request: RequestProgress, grant: Grant, exchange: asyncio.Future
     ) -> Grant | None:
         """Return a permit to move on with, once a send takes too long."""
         if not grant.move_ms:
@@ -377,9 +293,9 @@
 
     async def _note_outcome(
         self,
-        request: _Request,
+        request: RequestProgress,
         exchange: asyncio.Future[Answer],
-        flight: _Flight,
+        flight: Flight,
     ) -> None:
         left_s = request.limit_at - _now()
         done, _ = await asyncio.wait((exchange,), timeout=max(0, left_s))
@@ -393,10 +309,10 @@
             flight.detail = error.detail
             return
         request.last_answer = answer
-        flight.outcome = _judge(answer)
+        flight.outcome = judge(answer)
         flight.answer_bytes = len(answer.body)
 
-    async def _exchange(self, request: _Request, grant: Grant) -> Answer:
+    async def _exchange(self, request: RequestProgress, grant: Grant) -> Answer:
         left_s = request.limit_at - _now()
         workspace = request.workspace
         terms = SendTerms(
@@ -410,9 +326,7 @@
             inbound.body,
         )
         pool = self._ports.pool
-        idle_max_s = 3600.0
-        if request.route.kind != SAFE:
-            idle_max_s = _UNSAFE_IDLE_S
+        idle_max_s = math.inf if request.route.kind == SAFE else _UNSAFE_IDLE_S
         connection = await pool.take(grant.address, idle_max_s)
         attempt_id = request.terms.attempt_id
         answer = await connection.exchange(
@@ -423,13 +337,13 @@
         pool.give(grant.address, connection)
         return answer
 
-    def _answered(self, request: _Request) -> Ended:
+    def _answered(self, request: RequestProgress) -> Ended:
         if request.last_answer is None:
             raise RuntimeError('an answered send left no answer')
-        return Ended(_passed_on(request.last_answer), 'answered')
+        return Ended(passed_on(request.last_answer), 'answered')
 
     async def _after_failure(
-        self, request: _Request, outcome: Outcome
+        self, request: RequestProgress, outcome: Outcome
     ) -> Grant | Refused | Ended:
         if request.may_send() and _now() < request.limit_at:
             if outcome is Outcome.SHED:
@@ -437,26 +351,30 @@
             return await self._acquire(request)
         return self._final_failure(request)
 
-    def _without_permit(self, request: _Request, refused: Refused) -> Ended:
+    def _without_permit(
+        self, request: RequestProgress, refused: Refused
+    ) -> Ended:
         if request.may_have_run():
             return self._final_failure(request)
         retry_s = refused.retry_ms / 1000 or None
         if refused.reason == RATE_EXCEEDED:
-            return _refusal(429, RATE_EXCEEDED, retry_s)
-        return _refusal(503, refused.reason, retry_s or _NOT_READY_RETRY_S)
+            return refusal(429, RATE_EXCEEDED, retry_s)
+        return refusal(503, refused.reason, retry_s or _NOT_READY_RETRY_S)
 
-    def _final_failure(self, request: _Request) -> Ended:
+    def _final_failure(self, request: RequestProgress) -> Ended:
         if not request.may_have_run():
-            return _refusal(503, 'not-run', _NOT_READY_RETRY_S)
+            return refusal(503, 'not-run', _NOT_READY_RETRY_S)
         last = request.sent[-1].outcome
         answer = request.last_answer
-        if last is Outcome.FAILED and _is_passed_on(answer):
-            return Ended(_passed_on(answer), 'target-failed')
+        if last is Outcome.FAILED and is_passed_on(answer):
+            return Ended(passed_on(answer), 'target-failed')
         if _now() >= request.limit_at:
-            return _refusal(504, 'target-timeout')
-        return _refusal(502, f'target-{last.name.lower()}')
+            return refusal(504, 'target-timeout')
+        return refusal(502, f'target-{last.name.lower()}')
 
-    def _log_send(self, request: _Request, flight: _Flight, sent: Sent) -> None:
+    def _log_send(
+        self, request: RequestProgress, flight: Flight, sent: Sent
+    ) -> None:
         grant = flight.grant
         log_event(
             _LOGGER,
@@ -491,9 +409,9 @@
         )
         self._ports.on_ended('', ended.reason, 'none', 0)
 
-    def _log_end(self, request: _Request, ended: Ended) -> None:
+    def _log_end(self, request: RequestProgress, ended: Ended) -> None:
         took_s = _now() - request.inbound.received_at
-        good = ended.reply.status in _SUCCESS
+        good = ended.reply.status in SUCCESS
         sends = ','.join(
             f'{each.target}:{each.outcome.name.lower()}:'
             f'{each.latency_s * 1000:.0f}'
@@ -522,38 +440,5 @@
         )
 
 
-def _judge(answer: Answer) -> Outcome:
-    if says_not_run(answer.status, answer.headers):
-        if answer.status == 421:
-            return Outcome.OTHER_TARGET
-        return Outcome.SHED
-    if header(answer.headers, b'content-encoding') is not None:
-        return Outcome.GARBLED
-    if answer.status in _SUCCESS and not is_signed(answer.headers):
-        return Outcome.GARBLED
-    if answer.status in _NOT_RUN_STATUSES:
-        return Outcome.FAILED
-    if answer.status >= _FAILURE_STATUS:
-        return Outcome.FAILED
-    return Outcome.ANSWERED
-
-
-def _is_passed_on(answer: Answer | None) -> TypeGuard[Answer]:
-    # A target's 503 that does not state so may have run, so the status that
-    # promises otherwise stays here.
-    return answer is not None and answer.status not in _NOT_RUN_STATUSES
-
-
-def _passed_on(answer: Answer) -> Reply:
-    headers = caller_headers(answer.headers, with_signature=True)
-    return Reply(answer.status, headers, answer.body)
-
-
-def _refusal(
-    status: int, reason: str, retry_after_s: float | None = None
-) -> Ended:
-    return Ended(Reply(status, refusal_headers(retry_after_s), b''), reason)
-
-
 def _now() -> float:
     return asyncio.get_running_loop().time()
--- a/oleanderridge/gateway/public_pages.py
+++ b/oleanderridge/gateway/public_pages.py
@@ -25,8 +25,6 @@
 _ADDRESSES_MAX: Final = 64
 # With fewer ready hosts in a zone, callers get those of the others as well.
 _NEAR_LEAST: Final = 2
-# A host whose word of the store is older still serves; beyond this it says
-# that it is not ready.
 _METRICS_PATH: Final = '/metrics'
 _STATE_PATH: Final = '/state'
 
--- a/oleanderridge/gateway/settings.py
+++ b/oleanderridge/gateway/settings.py
@@ -6,18 +6,13 @@
 from pathlib import Path
 from typing import Any, cast
 
-from result import Err, Ok, Result
+from result import Result
 
 from oleanderridge.addresses import is_address
 from oleanderridge.findings import Finding
 from oleanderridge.generated.gateway import GatewaySettings
-from oleanderridge.schema_check import (
-    Fault,
-    fill_defaults,
-    located,
-    read_yaml,
-    schema_faults,
-)
+from oleanderridge.schema_check import Fault
+from oleanderridge.settings_file import load_checked, parse_checked
 
 _LISTENERS = ('caller', 'readiness', 'directory', 'store')
 
@@ -37,11 +32,8 @@
     Result of GatewaySettings, list of Finding
         Complete settings, defaults filled in; or all findings.
     """
-    try:
-        text = path.read_text(encoding='utf-8')
-    except (OSError, UnicodeDecodeError) as error:
-        return Err([Finding(str(path), 0, '', f'cannot be read: {error}')])
-    return parse_gateway_settings(text, str(path))
+    loaded = load_checked(path, 'gateway', _address_faults)
+    return cast(Result[GatewaySettings, list[Finding]], loaded)
 
 
 def parse_gateway_settings(
@@ -61,18 +53,8 @@
     Result of GatewaySettings, list of Finding
         Complete settings, defaults filled in; or all findings.
     """
-    parsed = read_yaml(text, source)
-    if parsed.is_err():
-        return Err(parsed.unwrap_err())
-    read = parsed.unwrap()
-    faults = list(schema_faults('gateway', read.content))
-    settings = None
-    if not faults:
-        settings = fill_defaults('gateway', read.content)
-        faults = list(_address_faults(settings))
-    if faults:
-        return Err(located(source, read.root, faults))
-    return Ok(cast(GatewaySettings, settings))
+    parsed = parse_checked(text, source, 'gateway', _address_faults)
+    return cast(Result[GatewaySettings, list[Finding]], parsed)
 
 
 def _address_faults(settings: dict[str, Any]) -> Iterator[Fault]:
--- a/oleanderridge/http1/client.py
+++ b/oleanderridge/http1/client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import re
 from collections import deque
 from collections.abc import Callable
@@ -304,7 +305,7 @@
         self.opened = 0
 
     async def take(
-        self, address: str, idle_max_s: float = 3600.0
+        self, address: str, idle_max_s: float = math.inf
     ) -> TargetConnection:
         """Return a kept connection, else a new one.
 
--- a/oleanderridge/platform/headers.py
+++ b/oleanderridge/platform/headers.py
@@ -12,7 +12,6 @@
 _TENANT: Final = b'oleanderridge-tenant'
 _EXPECT_INSTANCE: Final = b'oleanderridge-expect-instance'
 _NOT_EXECUTED: Final = b'oleanderridge-not-executed'
-_INSTANCE_ID: Final = b'oleanderridge-instance-id'
 _AUTHORIZATION: Final = b'authorization'
 _SCHEME: Final = 'token'
 _MISDIRECTED: Final = 421
@@ -109,16 +108,16 @@
     return status == _MISDIRECTED or header(headers, _NOT_EXECUTED) is not None
 
 
+def names_other_target(status: int) -> bool:
+    """Return whether another target answered at the address."""
+    return status == _MISDIRECTED
+
+
 def is_signed(headers: Headers) -> bool:
     """Return whether an answer bears the target's signature."""
     return header(headers, _SIGNATURE) is not None
 
 
-def instance_of(headers: Headers) -> str | None:
-    """Return the target that an answer names as its sender, or None."""
-    return _text(header(headers, _INSTANCE_ID))
-
-
 def caller_headers(headers: Headers, *, with_signature: bool) -> Headers:
     """Return the headers of a target's answer as the caller gets them.
 
--- a/oleanderridge/platform/records.py
+++ b/oleanderridge/platform/records.py
@@ -24,12 +24,10 @@
 )
 
 CONFIGURATION_KEY: Final = 'op/config'
-CONFIGURATION_PREFIX: Final = 'op/'
 TARGET_PREFIX: Final = 'servers/'
 
 _STATES: Final = {'ready': READY, 'draining': DRAINING}
 _KINDS: Final = {'safe': SAFE, 'download': SAFE, 'unsafe': UNSAFE}
-_MISSING: Final = object()
 Fields = dict[str, Any]
 
 
--- a/oleanderridge/platform/store.py
+++ b/oleanderridge/platform/store.py
@@ -19,9 +19,7 @@
 from oleanderridge.http1.messages import Headers
 
 _OK: Final = 200
-_NOT_FOUND: Final = 404
 _COMPACTED: Final = 410
-_JSON: Final = 'application/json'
 _PAGES_MAX: Final = 1000
 
 FORGOTTEN: Final = 'forgotten'
--- a/oleanderridge/settings.py
+++ b/oleanderridge/settings.py
@@ -6,21 +6,16 @@
 from pathlib import Path
 from typing import Any, Final, cast
 
-from result import Err, Ok, Result
+from result import Result
 
 from oleanderridge.addresses import is_address, is_address_url
 from oleanderridge.findings import Finding
 from oleanderridge.generated.settings import Settings
-from oleanderridge.schema_check import (
-    Fault,
-    fill_defaults,
-    located,
-    read_yaml,
-    schema_faults,
-)
+from oleanderridge.schema_check import Fault
 from oleanderridge.schema_check import (
     Path as FieldPath,
 )
+from oleanderridge.settings_file import load_checked, parse_checked
 
 # Monotonic clocks of two machines may run apart by up to this ratio while a
 # lease ages on one and the hold on the other; crystal clocks stay within
@@ -46,11 +41,8 @@
         Complete settings, defaults filled in; or all findings, also when
         the file cannot be read.
     """
-    try:
-        text = path.read_text(encoding='utf-8')
-    except (OSError, UnicodeDecodeError) as error:
-        return Err([Finding(str(path), 0, '', f'cannot be read: {error}')])
-    return parse_settings(text, str(path))
+    loaded = load_checked(path, 'settings', _rule_faults)
+    return cast(Result[Settings, list[Finding]], loaded)
 
 
 def parse_settings(text: str, source: str) -> Result[Settings, list[Finding]]:
@@ -68,18 +60,8 @@
     Result of Settings, list of Finding
         Complete settings, defaults filled in; or all findings.
     """
-    parsed = read_yaml(text, source)
-    if parsed.is_err():
-        return Err(parsed.unwrap_err())
-    yaml_source = parsed.unwrap()
-    faults = list(schema_faults('settings', yaml_source.content))
-    settings = None
-    if not faults:
-        settings = fill_defaults('settings', yaml_source.content)
-        faults = list(_rule_faults(settings))
-    if faults:
-        return Err(located(source, yaml_source.root, faults))
-    return Ok(cast(Settings, settings))
+    parsed = parse_checked(text, source, 'settings', _rule_faults)
+    return cast(Result[Settings, list[Finding]], parsed)
 
 
 def _rule_faults(settings: dict[str, Any]) -> Iterator[Fault]:
