--- /dev/null
+++ b/tests/test_permit_client.py
@@ -0,0 +1,190 @@
+"""Permits come from the leader, or from the own placement without it."""
+
+import asyncio
+from random import Random
+
+import pytest
+
+from oleanderridge.dispatch.permit_client import PermitClient
+from oleanderridge.dispatch.placement import Placement
+from oleanderridge.gateway.outcomes import Outcome, Purpose
+from oleanderridge.generated.fleet import (
+    Acquire,
+    Grant,
+    Queued,
+    Refused,
+    Release,
+)
+from tests.gateway_world import gateway_settings, record
+
+_ME, _LEADER = '10.1.0.1', '10.1.0.2'
+
+
+class _World:
+    """A client whose datagrams reach a leader that the test plays."""
+
+    def __init__(self, leader):
+        self.placement = Placement(gateway_settings(), Random(1))
+        self.placement.set_part(0.1)
+        now = asyncio.get_running_loop().time()
+        self.placement.set_targets({'own': record('own')}, now)
+        self.sent = []
+        self.silent = []
+        self._leader = leader
+        self.client = PermitClient(
+            _ME,
+            self.placement,
+            self._send,
+            lambda: _LEADER,
+            self.silent.append,
+        )
+
+    def _send(self, host, message):
+        self.sent.append(message)
+        reply = self._leader(message, len(self.sent))
+        if reply is not None:
+            asyncio.get_running_loop().call_later(
+                0.005, self.client.on_message, reply, host
+            )
+
+    def request(self, left_ms=1000):
+        return Acquire(
+            self.client.new_permit(),
+            _ME,
+            'z1',
+            'lookup',
+            'r',
+            '',
+            1,
+            True,
+            Purpose.FIRST,
+            False,
+            left_ms,
+            400,
+            0,
+            [],
+        )
+
+
+def _run(leader, scenario):
+    async def run():
+        world = _World(leader)
+        return await scenario(world)
+
+    return asyncio.run(run())
+
+
+def _grants(message, _count):
+    if isinstance(message, Acquire):
+        return Grant(message.permit, 'far', '10.0.0.9:1', 0, 1)
+    return None
+
+
+def _is_silent(_message, _count):
+    return None
+
+
+def test_the_leader_grants_and_gets_the_outcome():
+    """Guards against evidence that does not reach the leader."""
+
+    async def scenario(world):
+        grant = await world.client.acquire(world.request())
+        world.client.release(grant, Outcome.HUNG, 0.4, 0)
+        return grant, world.sent[-1]
+
+    grant, release = _run(_grants, scenario)
+    assert grant.target == 'far'
+    assert isinstance(release, Release)
+    assert release.outcome == Outcome.HUNG
+
+
+def test_without_an_answer_the_own_placement_serves_at_once():
+    """Guards against requests that wait for a leader that is gone."""
+
+    async def scenario(world):
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        first = await world.client.acquire(world.request())
+        between = loop.time()
+        second = await world.client.acquire(world.request())
+        return world, first, second, between - started, loop.time() - between
+
+    world, first, second, first_s, second_s = _run(_is_silent, scenario)
+    assert {first.target, second.target} == {'own'}
+    assert first_s < 0.4
+    assert second_s < 0.05
+    assert world.silent == [_LEADER]
+
+
+def test_a_lost_answer_is_asked_for_again_with_the_same_permit():
+    """Guards against a lost datagram that costs a slot."""
+
+    def loses_first(message, count):
+        return _grants(message, count) if count > 1 else None
+
+    async def scenario(world):
+        grant = await world.client.acquire(world.request())
+        return grant, world.sent
+
+    grant, sent = _run(loses_first, scenario)
+    assert grant.target == 'far'
+    assert len({message.permit for message in sent}) == 1
+
+
+def test_a_queued_request_waits_and_a_lost_leader_ends_the_wait():
+    """Guards against a caller that waits for a queue that is lost."""
+
+    def queues_then_dies(message, count):
+        return Queued(message.permit) if count == 1 else None
+
+    async def scenario(world):
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        grant = await world.client.acquire(world.request(3000))
+        return grant, loop.time() - started
+
+    grant, took_s = _run(queues_then_dies, scenario)
+    assert grant.target == 'own'
+    assert took_s < 1.2
+
+
+def test_a_grant_that_nobody_waits_for_goes_back():
+    """Guards against slots that late grants hold to their expiry."""
+
+    async def scenario(world):
+        late = Grant(77, 'far', '10.0.0.9:1', 0, 1)
+        world.client.on_message(late, _LEADER)
+        return world.sent
+
+    [release] = _run(_is_silent, scenario)
+    assert (release.permit, release.outcome) == (77, Outcome.UNUSED)
+
+
+def test_a_cancelled_request_is_withdrawn_everywhere():
+    """Guards against slots granted to callers that left."""
+
+    async def scenario(world):
+        task = asyncio.create_task(world.client.acquire(world.request()))
+        await asyncio.sleep(0.01)
+        task.cancel()
+        with pytest.raises(asyncio.CancelledError):
+            await task
+        return world.sent
+
+    sent = _run(lambda message, _count: Queued(message.permit), scenario)
+    assert isinstance(sent[-1], Release)
+    assert sent[-1].outcome == Outcome.UNUSED
+
+
+def test_a_refusal_of_the_leader_is_final():
+    """Guards against a rate that the own placement grants again."""
+
+    def refuses(message, _count):
+        if isinstance(message, Acquire):
+            return Refused(message.permit, 'rate-exceeded', 50)
+        return None
+
+    async def scenario(world):
+        return await world.client.acquire(world.request())
+
+    assert _run(refuses, scenario).reason == 'rate-exceeded'
