Refuse at once what no target can take, and try failed paths last

A host that had lost one packet to each target of a small service left all of them out for 3 s, and requests without a candidate were queued to their deadline. Ruled out: overload (orders were served meanwhile).

Change: failed paths are the last resort; without any candidate the refusal comes at once with a time to come back. Two tests failed before. The test of reused addresses now expects that refusal instead of a queued request, which is stricter.

--- a/oleanderridge/dispatch/placement.py
+++ b/oleanderridge/dispatch/placement.py
@@ -13,7 +13,12 @@
 
 from oleanderridge.admission.quota import FleetQuota
 from oleanderridge.dispatch.retry_budget import RetryBudget
-from oleanderridge.dispatch.selection import DOUBTFUL, choose, move_ms
+from oleanderridge.dispatch.selection import (
+    DOUBTFUL,
+    can_be_placed,
+    choose,
+    move_ms,
+)
 from oleanderridge.dispatch.service_state import ServiceState, Waiting
 from oleanderridge.dispatch.target_state import Flight, TargetState
 from oleanderridge.gateway.model import (
@@ -369,6 +374,8 @@
     def _is_hopeless(
         self, entry: Waiting, service: ServiceState, now: float
     ) -> bool:
+        if not can_be_placed(entry.request, service):
+            return True
         usual_s = service.latencies.quantile(0.5)
         slots = sum(
             state.record.slots
--- a/oleanderridge/dispatch/selection.py
+++ b/oleanderridge/dispatch/selection.py
@@ -98,6 +98,15 @@
     return best if best_cost <= patience + min(map(cost_of, full)) else None
 
 
+def can_be_placed(request: Acquire, service: ServiceState) -> bool:
+    """Return whether any target may take a request, now or later."""
+    return any(
+        state.record.target not in request.excluded
+        and not state.is_misdirected()
+        for state in service.targets
+    )
+
+
 def move_ms(
     request: Acquire, service: ServiceState, probability_bad: float
 ) -> int:
@@ -130,12 +139,18 @@
 def _candidates(
     request: Acquire, service: ServiceState, now: float
 ) -> tuple[list[TargetState], list[TargetState]]:
+    allowed = [
+        state
+        for state in service.targets
+        if state.record.target not in request.excluded
+        and not state.is_misdirected()
+    ]
+    reached = [
+        state for state in allowed if not state.is_avoided_by(request.host, now)
+    ]
     usable, full = [], []
-    for state in service.targets:
-        if state.record.target in request.excluded or state.is_misdirected():
-            continue
-        if state.is_avoided_by(request.host, now):
-            continue
+    # Paths that failed are the last resort.
+    for state in reached or allowed:
         (usable if state.free_slots() > 0 else full).append(state)
     return usable, full
 
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -50,7 +50,9 @@
     world.release(grant, Outcome.OTHER_TARGET, 0.01)
     assert world.acquire().target == 'b'
     world.now += 30
-    assert isinstance(world.acquire(excluded=['b']), Queued)
+    reply = world.acquire(excluded=['b'])
+    assert isinstance(reply, Refused)
+    assert reply.reason == 'no-target'
     world.placement.set_targets(
         {'a': record('a', revision=9), 'b': record('b')}, world.now
     )
@@ -148,3 +150,25 @@
         world.acquire(workspace='w', permit=refused.permit), Refused
     )
     assert isinstance(world.acquire(workspace='w'), Grant)
+
+
+def test_a_request_that_no_target_can_take_is_refused_at_once():
+    """Guards against callers held to their deadline for nothing.
+
+    Found in an incident of clanweave-hq: a download was held for 2.1 s and
+    then refused.
+    """
+    world = PlacementWorld(record('a', service='other'))
+    reply = world.acquire()
+    assert isinstance(reply, Refused)
+    assert (reply.reason, reply.retry_ms > 0) == ('no-target', True)
+
+
+def test_paths_that_all_failed_are_tried_again_when_nothing_else_is_left():
+    """Guards against a host that lost one packet to each target."""
+    world = PlacementWorld(record('a'), record('b'))
+    for target in ('b', 'a'):
+        grant = world.acquire(excluded=[target])
+        world.release(grant, Outcome.NOT_SENT, 0.12)
+    assert isinstance(world.acquire(), Grant)
+    assert isinstance(world.acquire(host='10.1.0.2'), Grant)
