--- a/oleanderridge/dispatch/target_state.py
+++ b/oleanderridge/dispatch/target_state.py
@@ -85,7 +85,7 @@
 
     def slowness(self, now: float) -> float:
         """Return the expected latency over the service's usual one."""
-        half_lives = (now - self._slowness_at) / _SLOWNESS_HALF_S
+        half_lives = max(0, now - self._slowness_at) / _SLOWNESS_HALF_S
         settled = 1 + (self._slowness - 1) * 0.5**half_lives
         return settled * _COLD_SLOWNESS if now < self._cold_until else settled
 
--- a/tests/test_gateway_request.py
+++ b/tests/test_gateway_request.py
@@ -57,6 +57,10 @@
     )
 
 
+def _loop_time():
+    return asyncio.get_running_loop().time()
+
+
 class _World:
     """A forwarder in front of stub targets."""
 
@@ -109,7 +113,7 @@
             )
         reply = await world.forwarder.handle(request(kind, gone))
         world.permits_left = [
-            each['flights'] for each in world.placement.snapshot(0)
+            each['flights'] for each in world.placement.snapshot(_loop_time())
         ]
         await asyncio.sleep(0.02)
         for target in targets:
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -172,3 +172,16 @@
         world.release(grant, Outcome.NOT_SENT, 0.12)
     assert isinstance(world.acquire(), Grant)
     assert isinstance(world.acquire(host='10.1.0.2'), Grant)
+
+
+def test_an_earlier_time_does_not_end_a_placement():
+    """Guards against an overflow of the forgetting of slowness.
+
+    Found by CI once the machine had been up for 4,096 s: a state asked for at
+    time 0 raised an error.
+    """
+    world = PlacementWorld(record('a'))
+    world.now += 1_000_000
+    world.release(world.acquire())
+    [state] = world.placement.snapshot(0)
+    assert state['slowness'] >= 1
