Keep the queue short and cheap, leave failing targets to tests, split parts by followers

Late requests were counted as ahead of new ones, and a target that failed at once (291 failures in 6 s) drew requests at their last moment.

Ruled out: noise of the machine.

Change: a line in logarithmic time, those in time first, few late ones; targets above 0.75 get tests only while a sound one exists; a leader's part of each rate counts the hosts that name it; each target has its own rate of turning bad.

--- a/oleanderridge/dispatch/placement.py
+++ b/oleanderridge/dispatch/placement.py
@@ -7,20 +7,15 @@
 from __future__ import annotations
 
 from collections.abc import Collection, Iterable, Mapping
-from functools import partial
 from random import Random
 from typing import Any, Final
 
 from oleanderridge.admission.quota import FleetQuota
 from oleanderridge.dispatch.retry_budget import RetryBudget
-from oleanderridge.dispatch.selection import (
-    DOUBTFUL,
-    can_be_placed,
-    choose,
-    move_ms,
-)
-from oleanderridge.dispatch.service_state import ServiceState, Waiting
-from oleanderridge.dispatch.target_state import Flight, TargetState
+from oleanderridge.dispatch.selection import can_be_placed, choose, move_ms
+from oleanderridge.dispatch.service_state import ServiceState
+from oleanderridge.dispatch.target_state import DOUBTFUL, Flight, TargetState
+from oleanderridge.dispatch.waiting_line import Waiting
 from oleanderridge.gateway.model import (
     DRAINING,
     Configuration,
@@ -173,7 +168,9 @@
             return self._grant(entry, service, target, now)
         if self._is_hopeless(entry, service, now):
             return self._give_up(entry, service, now)
-        service.waiting[request.permit] = entry
+        service.waiting.add(
+            entry, service.latencies.quantile(_IN_TIME_QUANTILE)
+        )
         return Queued(request.permit)
 
     def release(self, message: Release, now: float) -> Sent:
@@ -374,52 +371,51 @@
     def _is_hopeless(
         self, entry: Waiting, service: ServiceState, now: float
     ) -> bool:
+        """Return whether to refuse a request at once instead of queueing it.
+
+        Those that can meet their aim pass those that cannot, so only as many
+        late ones may wait as one round of the slots serves.
+        """
         if not can_be_placed(entry.request, service):
             return True
         usual_s = service.latencies.quantile(0.5)
-        slots = sum(
-            state.record.slots
-            for state in service.targets
-            if state.probability_bad(now, service.latencies) < DOUBTFUL
-        )
-        ahead = sum(
-            1
-            for other in service.waiting.values()
-            if other.request.priority <= entry.request.priority
-        )
-        wait_s = ahead * usual_s / max(1, slots)
-        return now + wait_s + usual_s > entry.deadline
+        slots = max(1, service.sound_slots(now))
+        ahead = service.waiting.ahead(entry.request.priority)
+        starts_at = now + ahead * usual_s / slots
+        if starts_at + usual_s > entry.deadline:
+            return True
+        in_time_s = service.latencies.quantile(_IN_TIME_QUANTILE)
+        if starts_at <= entry.late_at(in_time_s):
+            return False
+        return service.waiting.late(now) >= slots
 
     def _give_up(
         self, entry: Waiting, service: ServiceState, now: float
     ) -> Refused:
         request = entry.request
         self._give_back(request, service, now)
-        wait_s = max(_RETRY_LEAST_S, service.latencies.quantile(0.5))
+        usual_s = service.latencies.quantile(0.5)
+        rounds = 1 + len(service.waiting) / max(1, service.sound_slots(now))
+        wait_s = max(_RETRY_LEAST_S, rounds * usual_s)
         return Refused(request.permit, NO_TARGET, int(wait_s * 1000))
 
     def _serve_waiting(self, service: ServiceState, now: float) -> Sent:
-        sent: Sent = []
-        misses = 0
         usual_s = service.latencies.quantile(0.5)
-        in_time_s = service.latencies.quantile(_IN_TIME_QUANTILE)
-        ranked = sorted(
-            service.waiting.values(), key=partial(_rank, in_time_s, now)
-        )
-        for entry in ranked:
-            permit, host = entry.request.permit, entry.request.host
-            if now + usual_s > entry.deadline:
-                del service.waiting[permit]
-                sent.append((host, self._give_up(entry, service, now)))
-                continue
+        sent: Sent = [
+            (entry.request.host, self._give_up(entry, service, now))
+            for entry in service.waiting.pop_expired(now + usual_s)
+        ]
+        misses = 0
+        for entry in service.waiting.in_order(now):
             if misses >= _PASS_MISSES or not service.has_free_slot():
-                continue
+                break
             target = self._choose(entry, service, now)
             if target is None:
                 misses += 1
                 continue
-            del service.waiting[permit]
-            sent.append((host, self._grant(entry, service, target, now)))
+            service.waiting.pop(entry.request.permit)
+            granted = self._grant(entry, service, target, now)
+            sent.append((entry.request.host, granted))
         return sent
 
     def _forget_ended(self, now: float) -> None:
@@ -431,7 +427,7 @@
 
     def _forget_waiting(self, permit: int, now: float) -> None:
         for service in self._service_by_name.values():
-            entry = service.waiting.pop(permit, None)
+            entry = service.waiting.pop(permit)
             if entry is not None:
                 self._give_back(entry.request, service, now)
                 return
@@ -443,12 +439,3 @@
             service.budget.give_back(now)
         elif request.purpose == Purpose.FIRST:
             self._quota.give_back(request.workspace)
-
-
-def _rank(
-    usual_s: float, now: float, entry: Waiting
-) -> tuple[bool, int, float]:
-    """Sort those that can meet their aim before those that cannot."""
-    request = entry.request
-    late = entry.spent_s(now) + usual_s > request.aim_ms / 1000
-    return late, request.priority, entry.arrived
--- a/oleanderridge/dispatch/selection.py
+++ b/oleanderridge/dispatch/selection.py
@@ -7,14 +7,12 @@
 from random import Random
 from typing import Any, Final
 
-from oleanderridge.dispatch.service_state import ServiceState, Waiting
-from oleanderridge.dispatch.target_state import TargetState
+from oleanderridge.dispatch.service_state import ServiceState
+from oleanderridge.dispatch.target_state import DOUBTFUL, TargetState
+from oleanderridge.dispatch.waiting_line import Waiting
 from oleanderridge.gateway.outcomes import Purpose
 from oleanderridge.generated.fleet import Acquire
 
-# From this probability of being bad a target is doubtful.
-DOUBTFUL: Final = 0.4
-
 # Cost of a request that shares a target with another.
 _SHARED_TARGET_COST: Final = 0.08
 # Cost of a new connection.
@@ -40,7 +38,10 @@
 _TEST_AFTER_S: Final = 1.0
 _TEST_ABOVE: Final = 0.12
 # Requests that have used more than this part of their aim do not test.
-_TEST_AIM_PART: Final = 0.2
+_TEST_AIM_PART: Final = 0.5
+# A target that is bad with this probability is left to tests while a sound
+# one, free or full, is there: a send that is known to fail helps nobody.
+_LEFT_TO_TESTS: Final = 0.75
 # Tests leave this many repeats to requests that need them.
 _TEST_RESERVE: Final = 12
 # Tests stay in the zone of answers that cost more than this to move.
@@ -92,6 +93,8 @@
         cost = cost_of(state) + _TIE_COST * rng.random()
         if cost < best_cost:
             best, best_cost = state, cost
+    if _is_left_to_tests(best, full, service, now):
+        return None
     patience = _patience(entry, service, now)
     if best_cost <= patience or not full:
         return best
@@ -155,6 +158,20 @@
     return usable, full
 
 
+def _is_left_to_tests(
+    best: TargetState,
+    full: list[TargetState],
+    service: ServiceState,
+    now: float,
+) -> bool:
+    latencies = service.latencies
+    if best.probability_bad(now, latencies) < _LEFT_TO_TESTS:
+        return False
+    return any(
+        state.probability_bad(now, latencies) < DOUBTFUL for state in full
+    )
+
+
 def _patience(entry: Waiting, service: ServiceState, now: float) -> float:
     """Return the extra cost at which waiting ends.
 
--- a/oleanderridge/dispatch/target_state.py
+++ b/oleanderridge/dispatch/target_state.py
@@ -8,6 +8,8 @@
 from oleanderridge.gateway.outcomes import Outcome
 from oleanderridge.health.belief import Belief, LatencyRecord
 
+# From this probability of being bad a target is doubtful.
+DOUBTFUL: Final = 0.4
 # How long a host avoids a target that only it cannot reach.
 _PATH_AVOIDED_S: Final = 3.0
 # Another host's answer this recent clears the target and blames the path.
--- a/oleanderridge/health/belief.py
+++ b/oleanderridge/health/belief.py
@@ -13,10 +13,15 @@
 from typing import Final
 
 # Changes per second between the states; targets with gray failures keep a
-# state for some ten seconds.
+# state for some ten seconds. The first is where each target starts; those
+# that turned bad often are expected to do so again.
 _TURNS_BAD_PER_S: Final = 0.025
 _TURNS_GOOD_PER_S: Final = 0.08
-_STATIONARY: Final = _TURNS_BAD_PER_S / (_TURNS_BAD_PER_S + _TURNS_GOOD_PER_S)
+# Seconds of watching that the starting rate counts for.
+_PRIOR_S: Final = 20.0
+# A phase of the bad state begins above the one and has ended below the other.
+_BAD_FROM: Final = 0.7
+_GOOD_BELOW: Final = 0.3
 
 # A target that nothing is known of is more likely good.
 _NEW: Final = 0.1
@@ -117,6 +122,13 @@
     def __init__(self, now: float, probability: float = _NEW) -> None:
         self._probability = probability
         self._at = now
+        self._turns: float = _TURNS_BAD_PER_S * _PRIOR_S
+        self._good_s = _PRIOR_S
+        self._is_bad = False
+
+    def turns_bad_per_s(self) -> float:
+        """Return how often the target turned bad, in times per second."""
+        return self._turns / self._good_s
 
     def probability(
         self, now: float, ages: Sequence[float], latencies: LatencyRecord
@@ -162,23 +174,34 @@
 
     def doubt(self, now: float) -> None:
         """Take over that another host holds the target for bad."""
-        self._probability = max(self._settled(now), _DOUBTED)
-        self._at = now
+        self._move_to(max(self._settled(now), _DOUBTED), now)
 
     def unreached(self, now: float) -> None:
         """Take in a connection that could not be opened."""
         self._observe(now, _RATIO_UNREACHED)
 
     def _settled(self, now: float) -> float:
-        rate = _TURNS_BAD_PER_S + _TURNS_GOOD_PER_S
+        turns_bad = self.turns_bad_per_s()
+        rate = turns_bad + _TURNS_GOOD_PER_S
+        stationary = turns_bad / rate
         left = math.exp(-rate * max(0, now - self._at))
-        return _STATIONARY + (self._probability - _STATIONARY) * left
+        return stationary + (self._probability - stationary) * left
 
     def _observe(self, now: float, ratio: float) -> None:
         value = self._settled(now)
         odds = value / (1 - value) * ratio
-        self._probability = _bounded(odds / (1 + odds))
+        self._move_to(_bounded(odds / (1 + odds)), now)
+
+    def _move_to(self, probability: float, now: float) -> None:
+        if not self._is_bad:
+            self._good_s += max(0, now - self._at)
+        self._probability = probability
         self._at = now
+        if self._is_bad:
+            self._is_bad = probability > _GOOD_BELOW
+        elif probability > _BAD_FROM:
+            self._is_bad = True
+            self._turns += 1
 
 
 def _bounded(probability: float) -> float:
--- a/oleanderridge/membership/roster.py
+++ b/oleanderridge/membership/roster.py
@@ -20,6 +20,8 @@
 
 # A host that has asked a silent one for so many beats turns away from it.
 _BEATS_UNANSWERED: Final = 3
+# A host that named this one as its leader follows it for so many beats.
+_BEATS_FOLLOWED: Final = 2.5
 # Fewest hosts that a host assumes before it has heard of any.
 _HOSTS_ASSUMED: Final = 24
 
@@ -54,6 +56,7 @@
         self._by_host: dict[str, RosterMember] = {}
         self._direct_at: dict[str, float] = {}
         self._asked_at: dict[str, float] = {}
+        self._followed_at: dict[str, float] = {}
 
     def me(self, now: float) -> RosterMember:
         """Return the entry of this host."""
@@ -83,6 +86,10 @@
         if known is not None and known.incarnation > beat.incarnation:
             return False
         self._direct_at[beat.host] = now
+        if beat.leader == self.host:
+            self._followed_at[beat.host] = now
+        else:
+            self._followed_at.pop(beat.host, None)
         self._by_host[beat.host] = RosterMember(
             beat.host, beat.zone, beat.incarnation, beat.state, now
         )
@@ -236,11 +243,17 @@
         return len(self._by_host) + 1
 
     def part_of_fleet(self, now: float) -> float:
-        """Return the part of the known hosts that is alive, 0 to 1."""
+        """Return the part of the known hosts that follows this one, 0 to 1.
+
+        Hosts that turned to another leader are that one's part, so that two
+        that lead at once do not hand out the same rates twice.
+        """
         known = self.known(now)
         if known == 1:
             return 1 / _HOSTS_ASSUMED
-        return len(self.alive(now)) / known
+        since = now - _BEATS_FOLLOWED * self._peers['beat_s']
+        followers = sum(at >= since for at in self._followed_at.values())
+        return (1 + followers) / known
 
     def others(self) -> list[str]:
         """Return every known host but this one."""
@@ -260,6 +273,7 @@
                 del self._by_host[host]
                 self._direct_at.pop(host, None)
                 self._asked_at.pop(host, None)
+                self._followed_at.pop(host, None)
 
     def _is_alive(self, member: RosterMember, now: float) -> bool:
         return now - member.heard_at < self._peers['silent_s']
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -1,5 +1,7 @@
 """Requests go where they will be answered, and no slot is given twice."""
 
+import msgspec
+
 from oleanderridge.gateway.outcomes import Outcome, Purpose
 from oleanderridge.generated.fleet import Grant, Queued, Refused
 from tests.gateway_world import (
@@ -185,3 +187,96 @@
     world.release(world.acquire())
     [state] = world.placement.snapshot(0)
     assert state['slowness'] >= 1
+
+
+def _make_bad(world, target, others):
+    for _ in range(4):
+        grant = world.acquire(unsafe=True, excluded=others)
+        assert grant.target == target
+        world.release(grant, Outcome.FAILED, 0.01)
+
+
+def test_a_target_that_fails_at_once_does_not_draw_the_queue():
+    """Guards against a bad target that is always free and fails them all.
+
+    Found on scale-1 of clanweave-hq: in six seconds of overload 291 requests
+    were sent to targets that were known to fail.
+    """
+    world = PlacementWorld(record('bad'), record('good'))
+    for _ in range(4):
+        world.release(world.acquire(unsafe=True, excluded=['bad']))
+    _make_bad(world, 'bad', ['good'])
+    held = [world.acquire(unsafe=True) for _ in range(2)]
+    assert [each.target for each in held] == ['good', 'good']
+    for unsafe in (True, False):
+        waiting = world.acquire(unsafe=unsafe, left_ms=250, waited_ms=300)
+        assert isinstance(waiting, Queued)
+        answered = world.placement.tick(world.now + 0.1)
+        assert not answered
+    [(_, granted)] = world.release(held[0])
+    assert granted.target == 'good'
+
+
+def test_a_bad_target_is_used_when_no_sound_one_is_left():
+    """Guards against refusals while the only target might answer."""
+    world = PlacementWorld(record('bad'))
+    _make_bad(world, 'bad', [])
+    assert isinstance(world.acquire(unsafe=True), Grant)
+
+
+def test_late_requests_do_not_keep_out_those_that_come_in_time():
+    """Guards against an overload in which everyone is served too late.
+
+    Found on scale-1 of clanweave-hq: 182 requests waited, most of them past
+    their aim, while new ones were refused.
+    """
+    world = PlacementWorld(*(record(f't{place}') for place in range(4)))
+    for _ in range(40):
+        world.release(world.acquire())
+    held = [world.acquire(unsafe=True) for _ in range(8)]
+    assert all(isinstance(each, Grant) for each in held)
+    late = [
+        world.acquire(unsafe=True, waited_ms=390, left_ms=1500)
+        for _ in range(60)
+    ]
+    waiting = [each for each in late if isinstance(each, Queued)]
+    assert 0 < len(waiting) < 20
+    assert isinstance(world.acquire(unsafe=True), Queued)
+    [(_, first)] = world.release(held[0], after_s=0.01)
+    assert first.permit not in {each.permit for each in late}
+
+
+def test_a_long_queue_does_not_slow_the_placing_host():
+    """Guards against a host that sorts its whole queue at each answer.
+
+    Found on scale-1 of clanweave-hq: the placing host answered too late, 139
+    requests were placed by their own hosts, and targets turned 148 away.
+    """
+    calls = {length: _choices_at_a_release(length) for length in (20, 200)}
+    assert calls[200] <= calls[20]
+
+
+def _choices_at_a_release(length):
+    world = PlacementWorld(record('a'))
+    held = world.acquire(unsafe=True)
+    world.acquire(unsafe=True)
+    line = world.placement._service('lookup', world.now).waiting
+    waiting = world.acquire(left_ms=60_000, aim_ms=60_000)
+    assert isinstance(waiting, Queued)
+    entry = line.in_order(world.now)[0]
+    for place in range(length):
+        request = msgspec.structs.replace(
+            entry.request, permit=10_000 + place, priority=2
+        )
+        line.add(entry._replace(request=request), 0.1)
+    calls = 0
+    choose = world.placement._choose
+
+    def counted(*arguments):
+        nonlocal calls
+        calls += 1
+        return choose(*arguments)
+
+    world.placement._choose = counted
+    world.release(held)
+    return calls
--- a/tests/test_roster.py
+++ b/tests/test_roster.py
@@ -54,12 +54,35 @@
     """Guards against rates that grow while a part is cut off and serves."""
     roster = _roster()
     for place in range(9):
-        roster.on_beat(_beat(f'10.0.0.{place + 2}', 9), 10)
+        beat = _beat(f'10.0.0.{place + 2}', 9, leader=roster.host)
+        roster.on_beat(beat, 10)
     assert roster.part_of_fleet(10) == 1
     assert roster.part_of_fleet(13) == 0.1
     assert roster.known(40) == 1
 
 
+def test_two_that_lead_at_once_do_not_hand_out_a_rate_twice():
+    """Guards against rates that double while the leader changes.
+
+    Found on scale-2 of khmt-gate: 1,114 requests of a workspace ran in 5 s,
+    1,092 were allowed.
+    """
+    older, newer = _roster(1), _roster(5)
+    newer.host = '10.0.0.99'
+    hosts = [f'10.0.0.{place + 2}' for place in range(8)]
+    for host in hosts:
+        older.on_beat(_beat(host, 9, leader=older.host), 10)
+    older.on_beat(_beat(newer.host, 5, leader=newer.host), 10)
+    newer.on_beat(_beat(older.host, 1, leader=older.host), 10)
+    for host in hosts[3:]:
+        for roster in (older, newer):
+            roster.on_beat(_beat(host, 9, leader=newer.host), 10.3)
+    for host in hosts[:3]:
+        for roster in (older, newer):
+            roster.on_beat(_beat(host, 9, leader=older.host), 10.3)
+    assert older.part_of_fleet(10.4) + newer.part_of_fleet(10.4) <= 1
+
+
 def test_a_host_that_knows_nobody_takes_a_small_share():
     """Guards against every restarted host handing out a whole rate."""
     assert _roster().part_of_fleet(10) < 0.1
