--- a/oleanderridge/dispatch/permit_client.py
+++ b/oleanderridge/dispatch/permit_client.py
@@ -84,6 +84,10 @@
         """Return the host that is asked first."""
         return self._leaders.leading()
 
+    def granter(self, permit: int) -> str:
+        """Return the host that granted a permit that is held."""
+        return self._granter_by_permit.get(permit, self._host)
+
     def new_permit(self) -> int:
         """Return a number that no other permit of the fleet has."""
         self._next = (self._next + 1) & 0xFFFFFFFF
--- a/oleanderridge/forward/gateway_progress.py
+++ b/oleanderridge/forward/gateway_progress.py
@@ -89,8 +89,9 @@
 class Flight:
     """One send that is under way."""
 
-    def __init__(self, grant: Grant, started: float) -> None:
+    def __init__(self, grant: Grant, placed_by: str, started: float) -> None:
         self.grant = grant
+        self.placed_by = placed_by
         self.started = started
         self.outcome = Outcome.CALLER_LEFT
         self.detail = ''
--- a/oleanderridge/forward/gateway_request.py
+++ b/oleanderridge/forward/gateway_request.py
@@ -216,7 +216,8 @@
             self._ports.permits.release(grant, Outcome.UNUSED, 0, 0)
             request.sent.append(Sent(grant.target, Outcome.UNUSED, 0))
             return await self._acquire(request)
-        flight = Flight(grant, _now())
+        placed_by = self._ports.permits.granter(grant.permit)
+        flight = Flight(grant, placed_by, _now())
         exchange = asyncio.ensure_future(self._exchange(request, grant))
         request.in_flight += 1
         try:
@@ -382,6 +383,7 @@
             logging.INFO,
             id=request.terms.attempt_id,
             permit=grant.permit,
+            placed_by=flight.placed_by,
             target=grant.target,
             address=grant.address,
             bytes=flight.answer_bytes,
