Test a target again at once after it answered a test

Cause: a target that was well again stayed doubted for 2 to 3 s, one test a second, while demand was above capacity.

--- a/oleanderridge/dispatch/selection.py
+++ b/oleanderridge/dispatch/selection.py
@@ -36,7 +36,8 @@
 _DEAR_CROSSING: Final = 0.5
 # With less than this many usual latencies left a request waits no longer.
 _LAST_CHANCE: Final = 2.0
-# Idempotent requests test a doubtful target that got nothing for this long.
+# Idempotent requests test a doubtful target that got nothing for this long;
+# one that answered its last test is tested again at once.
 _TEST_AFTER_S: Final = 1.0
 _TEST_ABOVE: Final = 0.12
 # Requests that have used more than this part of their aim do not test.
@@ -280,7 +281,7 @@
         state
         for state in usable
         if not state.flights
-        and now - state.last_sent > _TEST_AFTER_S
+        and (state.answered_last or now - state.last_sent > _TEST_AFTER_S)
         and (state.record.zone == request.zone or not near_only)
         and state.probability_bad(now, service.latencies) > _TEST_ABOVE
     ]
--- a/oleanderridge/dispatch/target_state.py
+++ b/oleanderridge/dispatch/target_state.py
@@ -75,6 +75,7 @@
         self.flights: dict[int, Flight] = {}
         self.last_sent: float = 0
         self.last_answer: float = 0
+        self.answered_last = False
         self._misdirected_at = -1
         self._answers: deque[_Heard] = deque(maxlen=_ANSWERS_KEPT)
         self._slowness = 1.0
@@ -153,6 +154,7 @@
             Monotonic seconds.
         """
         self._judged_at = -1
+        self.answered_last = outcome is Outcome.ANSWERED
         if outcome is Outcome.ANSWERED:
             self._on_answer(flight, latency_s, latencies, now)
         elif outcome in (Outcome.FAILED, Outcome.GARBLED):
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -226,6 +226,30 @@
     assert isinstance(world.acquire(unsafe=True), Grant)
 
 
+def test_a_target_that_answers_its_test_is_tested_again_at_once():
+    """Guards against sound targets that are left out for seconds."""
+    world = PlacementWorld(record('a'), record('b'))
+    _make_bad(world, 'a', ['b'])
+    world.now += 1.1
+    took = 0
+    while world.placement.doubtful(world.now):
+        grant = world.acquire()
+        assert grant.target == 'a'
+        world.release(grant, after_s=0.1)
+        took += 1
+    assert took <= 4
+
+
+def test_a_target_that_fails_its_test_waits_for_the_next():
+    """Guards against tests that cost more than the target is worth."""
+    world = PlacementWorld(record('a'), record('b'))
+    _make_bad(world, 'a', ['b'])
+    world.now += 1.1
+    world.release(world.acquire(), Outcome.FAILED, after_s=0.1)
+    grants = [world.acquire() for _ in range(2)]
+    assert {grant.target for grant in grants} == {'b'}
+
+
 def test_a_broken_path_is_told_from_a_target_that_hangs():
     """Guards against sound targets that are left out for one host's path.
 
