Serve those in time well within their aim, and make the belief cheaper

A request that would wait for more than 0.6 of what its aim leaves now counts as late from the start.

--- a/oleanderridge/dispatch/placement.py
+++ b/oleanderridge/dispatch/placement.py
@@ -47,6 +47,9 @@
 # A request counts as able to meet its aim if so large a share of answers
 # would.
 _IN_TIME_QUANTILE: Final = 0.7
+# A request that would wait for more than this part of what its aim leaves
+# counts as late, so that those before it are served well within theirs.
+_WAIT_PART: Final = 0.6
 # Part of the repeats that is kept for non-idempotent requests that a target
 # turned away.
 _REPEAT_RESERVE_PART: Final = 0.3
@@ -170,11 +173,10 @@
         target = self._choose(entry, service, now)
         if target is not None:
             return self._grant(entry, service, target, now)
-        if self._is_hopeless(entry, service, now):
+        late_at = self._late_at(entry, service, now)
+        if late_at is None:
             return self._give_up(entry, service, now)
-        service.waiting.add(
-            entry, service.latencies.quantile(_IN_TIME_QUANTILE)
-        )
+        service.waiting.add(entry, late_at)
         return Queued(request.permit)
 
     def release(self, message: Release, now: float) -> Sent:
@@ -372,26 +374,28 @@
             0,
         )
 
-    def _is_hopeless(
+    def _late_at(
         self, entry: Waiting, service: ServiceState, now: float
-    ) -> bool:
-        """Return whether to refuse a request at once instead of queueing it.
+    ) -> float | None:
+        """Return when a request that waits will count as late.
 
         Those that can meet their aim pass those that cannot, so only as many
-        late ones may wait as one round of the slots serves.
+        late ones may wait as one round of the slots serves. The others, and
+        those that no target can take, are refused at once: None.
         """
         if not can_be_placed(entry.request, service):
-            return True
+            return None
         usual_s = service.latencies.quantile(0.5)
         slots = max(1, service.sound_slots(now))
         ahead = service.waiting.ahead(entry.request.priority)
-        starts_at = now + ahead * usual_s / slots
-        if starts_at + usual_s > entry.deadline:
-            return True
+        wait_s = ahead * usual_s / slots
+        if now + wait_s + usual_s > entry.deadline:
+            return None
         in_time_s = service.latencies.quantile(_IN_TIME_QUANTILE)
-        if starts_at <= entry.late_at(in_time_s):
-            return False
-        return service.waiting.late(now) >= slots
+        late_at = entry.late_at(in_time_s)
+        if wait_s <= _WAIT_PART * (late_at - now):
+            return late_at
+        return now if service.waiting.late(now) < slots else None
 
     def _give_up(
         self, entry: Waiting, service: ServiceState, now: float
--- a/oleanderridge/dispatch/selection.py
+++ b/oleanderridge/dispatch/selection.py
@@ -41,7 +41,7 @@
 _TEST_AFTER_S: Final = 1.0
 _TEST_ABOVE: Final = 0.12
 # Requests that have used more than this part of their aim do not test.
-_TEST_AIM_PART: Final = 0.5
+_TEST_AIM_PART: Final = 0.35
 # A target that is bad with this probability is left to tests while a sound
 # one, free or full, is there: a send that is known to fail helps nobody.
 _LEFT_TO_TESTS: Final = 0.75
--- a/oleanderridge/dispatch/target_state.py
+++ b/oleanderridge/dispatch/target_state.py
@@ -2,12 +2,11 @@
 
 from __future__ import annotations
 
-from collections import deque
 from typing import Final, NamedTuple
 
 from oleanderridge.gateway.model import TargetRecord
 from oleanderridge.gateway.outcomes import Outcome
-from oleanderridge.health.belief import Belief, LatencyRecord, Unanswered
+from oleanderridge.health.belief import Belief, LatencyRecord
 
 # From this probability of being bad a target is doubtful.
 DOUBTFUL: Final = 0.4
@@ -20,8 +19,6 @@
 _PATH_AGAIN_S: Final = 4.0
 # Another host's answer this recent clears the target and blames the path.
 _RECENT_ANSWER_S: Final = 0.6
-# Newest answers that are remembered with the host that got them.
-_ANSWERS_KEPT: Final = 4
 # Connections are assumed kept for so long after their last use.
 _KEPT_S: Final = 7.0
 # Weight of the newest answer in the slowness of a target.
@@ -77,7 +74,9 @@
         self.last_answer: float = 0
         self.answered_last = False
         self._misdirected_at = -1
-        self._answers: deque[_Heard] = deque(maxlen=_ANSWERS_KEPT)
+        # The newest answer, and the newest that another host got.
+        self._heard = _Heard('', 0)
+        self._heard_before = _Heard('', 0)
         self._slowness = 1.0
         self._slowness_at = now
         self._cold_until = now + record.cold_s
@@ -110,7 +109,7 @@
         """Return the probability that the next request fails."""
         if now != self._judged_at:
             unanswered = [
-                Unanswered(now - flight.started, self._outrun(flight))
+                (now - flight.started, self._outrun(flight))
                 for flight in self.flights.values()
             ]
             self._judged_at = now
@@ -174,7 +173,9 @@
         latencies.add(latency_s)
         self.belief.answered(now)
         self.last_answer = now
-        self._answers.append(_Heard(flight.host, now))
+        if flight.host != self._heard.host:
+            self._heard_before = self._heard
+        self._heard = _Heard(flight.host, now)
         self._avoided_by_host.pop(flight.host, None)
         relative = min(_SLOWNESS_MOST, latency_s / latencies.quantile(0.5))
         known = self.slowness(now)
@@ -207,13 +208,11 @@
 
     def _outrun(self, flight: Flight) -> bool:
         """Return whether another host got an answer since a flight began."""
-        return any(
-            heard.host != flight.host and heard.at > flight.started
-            for heard in self._answers
-        )
+        return self._heard_besides(flight.host).at > flight.started
 
     def _answered_others(self, host: str, now: float) -> bool:
-        return any(
-            heard.host != host and now - heard.at < _RECENT_ANSWER_S
-            for heard in self._answers
-        )
+        return now - self._heard_besides(host).at < _RECENT_ANSWER_S
+
+    def _heard_besides(self, host: str) -> _Heard:
+        heard = self._heard
+        return self._heard_before if heard.host == host else heard
--- a/oleanderridge/dispatch/waiting_line.py
+++ b/oleanderridge/dispatch/waiting_line.py
@@ -54,20 +54,20 @@
         """Return whether the request of a permit waits."""
         return permit in self._by_permit
 
-    def add(self, entry: Waiting, usual_s: float) -> None:
+    def add(self, entry: Waiting, late_at: float) -> None:
         """Let a request wait.
 
         Parameters
         ----------
         entry : Waiting
             The request.
-        usual_s : float
-            Seconds that an answer usually takes.
+        late_at : float
+            Monotonic seconds from which it comes after those in time.
         """
         permit = entry.request.permit
         self._by_permit[permit] = entry
         insort(self._in_time, _place(entry))
-        heappush(self._late_times, (entry.late_at(usual_s), permit))
+        heappush(self._late_times, (late_at, permit))
         heappush(self._deadlines, (entry.deadline, permit))
 
     def pop(self, permit: int) -> Waiting | None:
--- a/oleanderridge/health/belief.py
+++ b/oleanderridge/health/belief.py
@@ -10,7 +10,7 @@
 import math
 from bisect import bisect_right
 from collections.abc import Sequence
-from typing import Final, NamedTuple
+from typing import Final
 
 # Changes per second between the states; targets with gray failures keep a
 # state for some ten seconds. The first is where each target starts; those
@@ -50,11 +50,8 @@
 _RARE: Final = 0.006
 
 
-class Unanswered(NamedTuple):
-    """Age of a request in seconds; ``outrun`` when another was answered."""
-
-    age_s: float
-    outrun: bool
+# Age of a request in seconds, and whether another was answered meanwhile.
+Unanswered = tuple[float, bool]
 
 
 class LatencyRecord:
@@ -135,6 +132,7 @@
         self._turns: float = _TURNS_BAD_PER_S * _PRIOR_S
         self._good_s = _PRIOR_S
         self._is_bad = False
+        self._set_rates()
 
     def turns_bad_per_s(self) -> float:
         """Return how often the target turned bad, in times per second."""
@@ -166,11 +164,11 @@
         if not unanswered:
             return value
         odds = value / (1 - value)
-        for each in unanswered:
-            survives = latencies.survival(each.age_s)
+        for age_s, outrun in unanswered:
+            survives = latencies.survival(age_s)
             hangs = _HANGS_WHEN_BAD + (1 - _HANGS_WHEN_BAD) * survives
             ratio = hangs / survives
-            odds *= min(ratio, _RATIO_OUTRUN) if each.outrun else ratio
+            odds *= min(ratio, _RATIO_OUTRUN) if outrun else ratio
         return _bounded(odds / (1 + odds))
 
     def answered(self, now: float) -> None:
@@ -194,11 +192,10 @@
         self._observe(now, _RATIO_UNREACHED)
 
     def _settled(self, now: float) -> float:
-        turns_bad = self.turns_bad_per_s()
-        rate = turns_bad + _TURNS_GOOD_PER_S
-        stationary = turns_bad / rate
-        left = math.exp(-rate * max(0, now - self._at))
-        return stationary + (self._probability - stationary) * left
+        if now <= self._at:
+            return self._probability
+        left = math.exp(self._rate * (self._at - now))
+        return self._stationary + (self._probability - self._stationary) * left
 
     def _observe(self, now: float, ratio: float) -> None:
         value = self._settled(now)
@@ -215,6 +212,12 @@
         elif probability > _BAD_FROM:
             self._is_bad = True
             self._turns += 1
+        self._set_rates()
+
+    def _set_rates(self) -> None:
+        turns_bad = self.turns_bad_per_s()
+        self._rate = turns_bad + _TURNS_GOOD_PER_S
+        self._stationary = turns_bad / self._rate
 
 
 def _bounded(probability: float) -> float:
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -362,7 +362,7 @@
         request = msgspec.structs.replace(
             entry.request, permit=10_000 + place, priority=2
         )
-        line.add(entry._replace(request=request), 0.1)
+        line.add(entry._replace(request=request), world.now + 60)
     calls = 0
     choose = world.placement._choose
 
--- a/tests/test_waiting_line.py
+++ b/tests/test_waiting_line.py
@@ -52,7 +52,7 @@
     for permit, (priority, arrived, aim_ms, left_ms) in enumerate(fields):
         entry = _entry(permit, priority, arrived, aim_ms, left_ms)
         waiting[permit] = entry
-        line.add(entry, _USUAL_S)
+        line.add(entry, entry.late_at(_USUAL_S))
     for now in sorted(times):
         if waiting and data.draw(st.booleans()):
             taken = data.draw(st.sampled_from(sorted(waiting)))
@@ -84,7 +84,7 @@
 def test_a_request_that_left_is_not_returned_again():
     """Guards against a slot that is given to a caller who has gone."""
     line = WaitingLine()
-    line.add(_entry(1, 1, 0, 400, 1000), _USUAL_S)
+    line.add(_entry(1, 1, 0, 400, 1000), 0.3)
     assert line.pop(1) is not None
     assert line.pop(1) is None
     assert not list(line.in_order(0.1))
