Read the tolerance of rates from the settings and use part of it

Cause: the refill beyond the rate assumed a tolerance of 0.25; a deployment with 0.1 would have broken its bound. Part of the fixed slack is used too, so that fewer requests are refused that another clock would admit.

--- a/oleanderridge/admission/quota.py
+++ b/oleanderridge/admission/quota.py
@@ -6,6 +6,7 @@
 from typing import Final, NamedTuple
 
 from oleanderridge.gateway.model import Workspace
+from oleanderridge.generated.gateway import BoundSettings
 
 # A host that begins to stand for much of the fleet does not know what its
 # predecessor handed out; small parts are whole at once.
@@ -13,9 +14,11 @@
 # After a common restart nothing was handed out while the hosts were down.
 _LEVEL_OF_RESTARTED: Final = 0.6
 _SMALL_PART: Final = 0.5
-# Part of what a window may hold that is refilled besides the rate; the rest
-# of the operator's tolerance covers changes of the placing host.
-_AGAIN_PART: Final = 0.15
+# Parts of the operator's tolerance that are handed out besides the rate, so
+# that a request which another clock would admit is not refused; the rest
+# covers changes of the placing host.
+_OVERAGE_USED: Final = 0.6
+_SLACK_USED: Final = 0.4
 # A workspace with less of its burst left than this is near its rate.
 _PRESSED_PART: Final = 0.5
 # Parts of a rate that a host which places alone may hand out to a workspace
@@ -44,18 +47,17 @@
 class FleetQuota:
     """Buckets whose rates are the part of the fleet that a host stands for.
 
-    The operator's bound counts any span of ``window_s`` and allows the burst
-    in each, so a bucket refills with the burst once in a window besides the
-    rate.
+    The operator's bound counts any span of a window and tolerates more than
+    rate and burst in each, so a bucket refills with part of that besides.
 
     Parameters
     ----------
-    window_s : float
-        Span that the operator's bound counts, in seconds.
+    bounds : BoundSettings
+        Window and tolerance.
     """
 
-    def __init__(self, window_s: float) -> None:
-        self._window_s = window_s
+    def __init__(self, bounds: BoundSettings) -> None:
+        self._bounds = bounds
         self._workspaces: Mapping[str, Workspace] = {}
         self._bucket_by_workspace: dict[str, _Bucket] = {}
         self._part = 1.0
@@ -140,9 +142,14 @@
         return min(1, self._part * _RELAXED_PARTS)
 
     def _refill(self, workspace: Workspace) -> float:
-        in_window = workspace.rate * self._window_s + workspace.burst
-        again = min(workspace.burst, _AGAIN_PART * in_window)
-        return workspace.rate + again / self._window_s
+        bounds = self._bounds
+        window_s = bounds['quota_window_s']
+        in_window = workspace.rate * window_s + workspace.burst
+        tolerated = (
+            _OVERAGE_USED * bounds['quota_overage'] * in_window
+            + _SLACK_USED * bounds['quota_slack']
+        )
+        return workspace.rate + tolerated / window_s
 
     def _filled(self, workspace: Workspace, now: float) -> _Bucket:
         part = self._part_of(workspace.name)
--- a/oleanderridge/dispatch/placement.py
+++ b/oleanderridge/dispatch/placement.py
@@ -78,7 +78,7 @@
         self._service_by_name: dict[str, ServiceState] = {}
         self._target_by_permit: dict[int, str] = {}
         self._ended_by_permit: dict[int, tuple[float, Refused]] = {}
-        self._quota = FleetQuota(settings['bounds']['quota_window_s'])
+        self._quota = FleetQuota(settings['bounds'])
         self.part = 1.0
 
     def configure(self, configuration: Configuration) -> None:
--- a/oleanderridge/gateway/public_pages.py
+++ b/oleanderridge/gateway/public_pages.py
@@ -90,7 +90,10 @@
         port = self._settings['caller']['address'].rpartition(':')[2]
         headers, body = addresses_answer(
             [f'{host}:{port}' for host in hosts],
-            self._settings['directory_ttl_s'],
+            min(
+                self._settings['directory_ttl_s'],
+                self._settings['bounds']['ttl_most_s'],
+            ),
         )
         return Reply(200, list(headers), body)
 
