--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -248,6 +248,8 @@
     burst = 2 * rate
     quota.configure({'w': workspace(rate=rate, burst=burst)})
     quota.set_part(1)
+    # A minute later the bucket is full.
+    assert quota.take('w', 40).taken
     admitted = [
         step
         for step in range(30_000)
