--- a/features/steps/process_steps.py
+++ b/features/steps/process_steps.py
@@ -622,6 +622,23 @@
     context.run(_check_quiet(context, target, seconds))
 
 
+@then('{target} receives nothing for {seconds:d} s more')
+def then_stays_quiet(context, target, seconds):
+    context.run(_check_stays_quiet(context, target, seconds))
+
+
+async def _check_stays_quiet(context, target, seconds):
+    around = context.fleet.around
+    before = (await around.target_counts(target))['received']
+    until = time.monotonic() + seconds
+
+    async def bound_reached():
+        return time.monotonic() >= until
+
+    await wait_until(bound_reached, seconds + 1, 'the bound')
+    assert (await around.target_counts(target))['received'] == before
+
+
 async def _check_quiet(context, target, seconds):
     around = context.fleet.around
     until = time.monotonic() + seconds
