Give each process its own permit numbers

Cause: a host numbered its permits from 1 in each process. One that was killed and came back within 10 s asked with numbers that the leader still held.

Ruled out: the list of targets (the host knew 28 with the right services), the route and the key (route r-vm7wfa7, service puhu28c, a key in force).

Change: numbers begin at a place drawn from the incarnation; a copy must name the same host, service, route and kind as the granted request; a copy whose target has restarted and left is refused instead of raising KeyError at the leader.

--- a/oleanderridge/dispatch/permit_client.py
+++ b/oleanderridge/dispatch/permit_client.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 from collections.abc import Callable
+from random import Random
 from typing import Final, NamedTuple
 
 from oleanderridge.dispatch.placement import NO_TARGET, Placement
@@ -29,6 +30,8 @@
 _QUEUE_POLL_INTERVAL_S: Final = 0.2
 # How long an unresponsive leader is bypassed.
 _LEADER_BYPASS_S: Final = 0.2
+# Lower part of a permit number; the address of the host is the upper part.
+_SEQUENCE_BITS: Final = 32
 
 SendMessage = Callable[[str, Compact], None]
 
@@ -60,6 +63,8 @@
         Sends a message to a host.
     leaders : LeaderLookup
         Provides the current leader.
+    incarnation : int
+        Distinguishes this process from earlier ones of the same host.
     """
 
     def __init__(
@@ -68,6 +73,7 @@
         placement: Placement,
         send: SendMessage,
         leaders: LeaderLookup,
+        incarnation: int,
     ) -> None:
         self._leaders = leaders
         self._host = host
@@ -77,10 +83,13 @@
         self._acknowledged: set[int] = set()
         self._issuer_by_permit: dict[int, str] = {}
         self._leader_bypassed_until: float = 0
-        self._last_sequence = 0
+        # A leader remembers the permits of an earlier process of this host,
+        # so each process numbers its own from another start.
+        self._last_sequence = Random(incarnation).getrandbits(_SEQUENCE_BITS)
         self.fallbacks = 0
         address_bytes = (int(part) for part in host.split('.'))
-        self._permit_prefix = int.from_bytes(bytes(address_bytes), 'big') << 32
+        address_number = int.from_bytes(bytes(address_bytes), 'big')
+        self._permit_prefix = address_number << _SEQUENCE_BITS
 
     def leader(self) -> str:
         """Return the current leader."""
@@ -92,7 +101,7 @@
 
     def new_permit(self) -> int:
         """Return a permit number that is unique in the fleet."""
-        self._last_sequence = (self._last_sequence + 1) & 0xFFFFFFFF
+        self._last_sequence = (self._last_sequence + 1) % (1 << _SEQUENCE_BITS)
         return self._permit_prefix | self._last_sequence
 
     def on_message(self, message: Compact, sender: str) -> None:
--- a/oleanderridge/dispatch/placement.py
+++ b/oleanderridge/dispatch/placement.py
@@ -43,6 +43,7 @@
 NO_TARGET: Final = 'no-target'
 NO_RETRY_LEFT: Final = 'no-retry-left'
 RELEASED: Final = 'released'
+PERMIT_IN_USE: Final = 'permit-in-use'
 
 # How long final replies are kept to answer duplicate messages.
 _FINAL_REPLY_TTL_S: Final = 2.0
@@ -160,7 +161,7 @@
         """
         granted_target = self._target_by_permit.get(request.permit)
         if granted_target is not None:
-            return self._grant_message(request, granted_target, now)
+            return self._repeat_grant(request, granted_target, now)
         service = self._service(request.service, now, request.aim_ms / 1000)
         if request.permit in service.queue:
             return Queued(request.permit)
@@ -379,10 +380,16 @@
             int(probability_bad * 100),
         )
 
-    def _grant_message(
+    def _repeat_grant(
         self, request: Acquire, target: str, now: float
-    ) -> Grant:
-        state = self._targets_by_id[target]
+    ) -> Grant | Refused:
+        state = self._targets_by_id.get(target)
+        attempt = state.attempts.get(request.permit) if state else None
+        if state is None or attempt is None:
+            # The target has restarted or left since the grant.
+            return Refused(request.permit, RELEASED, 0)
+        if not attempt.is_for(request):
+            return Refused(request.permit, PERMIT_IN_USE, 0)
         service = self._service(request.service, now)
         return Grant(
             request.permit,
--- a/oleanderridge/dispatch/target_state.py
+++ b/oleanderridge/dispatch/target_state.py
@@ -6,6 +6,7 @@
 
 from oleanderridge.gateway.model import TargetRecord
 from oleanderridge.gateway.outcomes import Outcome
+from oleanderridge.generated.fleet import Acquire
 from oleanderridge.health.belief import FailureEstimate, LatencyHistogram
 
 # A target is doubtful above this probability of being bad.
@@ -41,6 +42,15 @@
     service: str
     is_retry: bool
 
+    def is_for(self, request: Acquire) -> bool:
+        """Return whether a permit request is a duplicate of this one's."""
+        return (self.host, self.service, self.route, self.unsafe) == (
+            request.host,
+            request.service,
+            request.route,
+            request.unsafe,
+        )
+
 
 class _Answer(NamedTuple):
     """An answer of the target: the receiving host and the time."""
--- a/oleanderridge/gateway/process.py
+++ b/oleanderridge/gateway/process.py
@@ -98,6 +98,7 @@
                 self._roster.mark_unresponsive,
                 self._discovery_done,
             ),
+            self._roster.incarnation,
         )
         self._store = StoreClient(
             settings['store']['address'], settings['store']['timeout_s']
--- a/tests/test_gateway_request.py
+++ b/tests/test_gateway_request.py
@@ -89,6 +89,7 @@
             LeaderLookup(
                 lambda: '10.1.0.1', lambda _leader: None, leader_known
             ),
+            incarnation=1,
         )
         self.ended_requests = []
         self.forwarder = GatewayForwarder(
--- a/tests/test_permit_client.py
+++ b/tests/test_permit_client.py
@@ -38,6 +38,7 @@
             self.placement,
             self._send,
             LeaderLookup(lambda: _LEADER, self.unresponsive.append, self.met),
+            incarnation=1,
         )
 
     def _send(self, host, message):
@@ -209,3 +210,29 @@
     before, grant = _run(_grants, scenario)
     assert not before
     assert grant.target == 'far'
+
+
+def test_a_restarted_host_uses_none_of_its_former_permits():
+    """Guards against a grant for a request of the process before.
+
+    The leader still holds the permits of a host that was killed and repeats
+    the grant of a permit that it knows.
+    """
+    incarnations = (1780142139004, 1780142160504, 1780142159504)
+    permits = set()
+    for incarnation in incarnations:
+        client = PermitClient(
+            _LOCAL_HOST, None, None, None, incarnation=incarnation
+        )
+        permits |= {client.new_permit() for _ in range(20_000)}
+    assert len(permits) == 20_000 * len(incarnations)
+
+
+def test_permits_of_two_hosts_differ():
+    """Guards against one slot for the requests of two hosts."""
+    permits = set()
+    for host in ('10.1.0.1', '10.1.0.2', '10.2.0.1'):
+        client = PermitClient(host, None, None, None, incarnation=7)
+        permits |= {client.new_permit() for _ in range(1000)}
+    assert len(permits) == 3000
+    assert max(permits) < 2**64
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -35,6 +35,31 @@
     assert isinstance(world.acquire(), Grant)
 
 
+def test_a_permit_of_another_service_is_not_granted_again():
+    """Guards against sending a request to the target of another service."""
+    world = PlacementWorld(record('a'), record('b', service='orders'))
+    first = world.acquire(permit=7, service='orders')
+    assert first.target == 'b'
+    other = world.acquire(permit=7, service='lookup')
+    assert isinstance(other, Refused)
+    assert other.reason == 'permit-in-use'
+    # The refusal leaves the slot of the first request as it is.
+    assert world.acquire(permit=7, service='orders').target == 'b'
+
+
+def test_a_copy_of_a_request_to_a_target_that_restarted_and_left_is_refused():
+    """Guards against an error at the leader for a permit without a target."""
+    world = PlacementWorld(record('a'), record('b'))
+    grant = world.acquire(permit=7, excluded=['b'])
+    assert grant.target == 'a'
+    restarted = {'a': record('a', born_ms=9), 'b': record('b')}
+    world.placement.set_targets(restarted, world.now)
+    world.placement.set_targets({'b': record('b')}, world.now)
+    copy = world.acquire(permit=7, excluded=['b'])
+    assert isinstance(copy, Refused)
+    assert copy.reason == 'released'
+
+
 def test_orders_avoid_a_target_that_leaves_a_request_unanswered():
     """Guards against non-idempotent requests sent to a hanging target."""
     world = PlacementWorld(record('a'), record('b'))
