Count a host for an older version only until it adopted the next

Cause: the bound on the lease of a host that skipped a version is hold_s after a majority last reported the version before. In that majority the host counted itself at every heartbeat, although it reports the newer version since it adopted it. With h0 (weight 1.5) still at 13, h2 at 15 renewed its lease under 13 and 15 while h3 had settled 13: no version in common, shares of 2.5 beside 0.

Ruled out: settlement (h3 settled 13 hold_s after h1, h2 and h3 reported 14 or later, as designed), the model (its check of common versions is the proof of section 4), the buckets (shares came from smallest_share in both).

Change: Transition.adopted_at stands for the own report, for lists too.

--- a/oleanderridge/membership/history.py
+++ b/oleanderridge/membership/history.py
@@ -41,7 +41,9 @@
         """Return the unsettled revisions below the current one."""
         return sorted(self._older)
 
-    def adopt(self, host_list: HostList, older_majority_at: float) -> None:
+    def adopt(
+        self, host_list: HostList, older_majority_at: float, now: float
+    ) -> None:
         """Make a list with a higher revision the current one.
 
         Parameters
@@ -51,6 +53,8 @@
         older_majority_at : float
             When a majority last reported the previous revision or a lower
             one, in monotonic seconds.
+        now : float
+            Monotonic seconds.
         """
         revision = host_list['revision']
         if self.current is not None:
@@ -62,6 +66,7 @@
                     successor=revision,
                     has_gap=revision != older + 1,
                     older_majority_at=older_majority_at,
+                    adopted_at=now,
                 )
             )
         self.current = host_list
@@ -87,6 +92,7 @@
                 successor=self.revision,
                 has_gap=False,
                 older_majority_at=-inf,
+                adopted_at=-inf,
             )
         )
 
--- a/oleanderridge/membership/settlement.py
+++ b/oleanderridge/membership/settlement.py
@@ -13,7 +13,8 @@
     this host never received. Another host may mint tokens under one of those,
     but not before it has settled ``older``. ``older_majority_at`` is the last
     time at which a majority still reported ``older`` or lower; no host settles
-    ``older`` sooner than ``hold_s`` after that.
+    ``older`` sooner than ``hold_s`` after that. This host itself last reported
+    ``older`` at ``adopted_at``.
     """
 
     def __init__(
@@ -22,11 +23,13 @@
         successor: int,
         has_gap: bool,
         older_majority_at: float,
+        adopted_at: float,
     ) -> None:
         """Start unconfirmed."""
         self.older = older
         self.successor = successor
         self.has_gap = has_gap
+        self.adopted_at = adopted_at
         self.older_majority_at = older_majority_at
         self.confirmed_at = inf
 
--- a/oleanderridge/membership/state.py
+++ b/oleanderridge/membership/state.py
@@ -81,7 +81,7 @@
         older_majority_at = self._majority_last_on_list(
             self._lists.revision, now
         )
-        self._lists.adopt(host_list, older_majority_at)
+        self._lists.adopt(host_list, older_majority_at, now)
         self._refresh(now)
         return True
 
@@ -188,6 +188,7 @@
                 successor=version,
                 has_gap=older == 0 or version != older + 1,
                 older_majority_at=self._majority_last_on_version(older, now),
+                adopted_at=now,
             )
         )
         self._bundle = (version, digest)
@@ -451,18 +452,18 @@
             and self._same_bundle_or_older(report)
         )
 
-    def _last_heard_times(self, matches, now: float) -> dict[str, float]:
+    def _last_heard_times(self, matches, own_at: float) -> dict[str, float]:
         stamps = {
             host: record.last_matching_at(matches)
             for host, record in self._records.items()
         }
-        stamps[self._host] = now
+        stamps[self._host] = own_at
         return {host: at for host, at in stamps.items() if at > -inf}
 
-    def _majority_since(self, matches, now: float) -> float:
+    def _majority_since(self, matches, own_at: float) -> float:
         # Every unsettled list needs its own majority: otherwise two lists with
         # few hosts in common could back different bundle versions.
-        stamps = self._last_heard_times(matches, now)
+        stamps = self._last_heard_times(matches, own_at)
         return min(
             (
                 majority_heard_since(weights, stamps)
@@ -474,16 +475,17 @@
             default=-inf,
         )
 
-    def _majority_last_on_list(self, older: int, now: float) -> float:
+    # This host counts until it adopted the successor: later it reports that.
+    def _majority_last_on_list(self, older: int, adopted_at: float) -> float:
         return self._majority_since(
             lambda report: report.joined and report.list_revision <= older,
-            now,
+            adopted_at,
         )
 
-    def _majority_last_on_version(self, older: int, now: float) -> float:
+    def _majority_last_on_version(self, older: int, adopted_at: float) -> float:
         return self._majority_since(
             lambda report: report.joined and report.bundle_version <= older,
-            now,
+            adopted_at,
         )
 
     def _released(self) -> set[str]:
@@ -500,12 +502,16 @@
         for transition in self._lists.transitions:
             if transition.has_gap:
                 transition.note_older_majority(
-                    self._majority_last_on_list(transition.older, now)
+                    self._majority_last_on_list(
+                        transition.older, transition.adopted_at
+                    )
                 )
         for transition in self._version_transitions:
             if transition.has_gap:
                 transition.note_older_majority(
-                    self._majority_last_on_version(transition.older, now)
+                    self._majority_last_on_version(
+                        transition.older, transition.adopted_at
+                    )
                 )
         self._confirm_lists(now)
         self._confirm_versions(now)
--- a/tests/test_rate_invariant.py
+++ b/tests/test_rate_invariant.py
@@ -166,6 +166,33 @@
                 self.fleet.read_platform(process, **lags)
 
 
+# Seed 28482: two hosts skip versions in turn while the others still report the
+# version before. Host h3 settled it while h2, which had skipped version 14,
+# held a lease under it.
+_SKIPPED_VERSIONS = (
+    (8, 1, 0.0, 1, True),
+    (8, 1, 0.0, 1, False),
+    (8, 1, 0.0, 1, True),
+    (0, 200, 0.3, 10, False),
+    (8, 4, 0.3, 40, True),
+    (16, 200, 0.3, 10, True),
+    (2, 200, 0.0, 40, False),
+    (8, 200, 0.3, 10, False),
+    (8, 20, 0.6, 10, True),
+)
+
+
+def test_hosts_that_skip_versions_in_turn_share_one_rate():
+    """Guards against leases under versions that have none in common."""
+    machine = RateInvariant()
+    machine.begin(seed=28482, burst=1, rate=1, size=4, seconds=16)
+    for after, burst, deaf, rate, twice in _SKIPPED_VERSIONS:
+        machine.bundle_changes(
+            after=after, burst=burst, deaf=deaf, rate=rate, twice=twice
+        )
+    assert machine.fleet.leaseholders()
+
+
 TestRateInvariant = RateInvariant.TestCase
 TestRateInvariant.settings = settings(
     derandomize=True,
