Keep a draining target without work until a good probe

Cause: DRAINING ended after ejection_s and became PROBING, which the floor readmits and the third failed probe restores; the stand-in's health endpoint answered 200 without a word of draining; an ejection for failures of requests in flight replaced DRAINING as well.

Ruled out: the list of leaving targets (not used here), a second broker (one host brokered the service all the time).

Change: only a probe that succeeds and doesn't announce draining ends the state; hosts that served a service alone probe their own view. The stand-in announces draining at its health endpoint too, as at all others.

--- a/bench/target.py
+++ b/bench/target.py
@@ -331,7 +331,11 @@
             await asyncio.sleep(_PROBE_S * state.active().slow)
     except _Shed:
         return web.Response(status=503, headers={_STATE_HEADER: 'shedding'})
-    return web.Response(status=200 if reports[faults.health] else 503)
+    headers = {}
+    if state.draining:
+        headers[_STATE_HEADER] = 'draining'
+    status = 200 if reports[faults.health] else 503
+    return web.Response(status=status, headers=headers)
 
 
 async def serve_load(request: web.Request) -> web.Response:
--- a/oleanderridge/dispatch/independent.py
+++ b/oleanderridge/dispatch/independent.py
@@ -60,6 +60,10 @@
             self._health_by_service[service] = health
         return health
 
+    def known_health(self, service: str) -> ServiceHealth | None:
+        """Return the health of a service that this host served alone."""
+        return self._health_by_service.get(service)
+
     def pick(
         self, service: str, excluded: Collection[str], now: float
     ) -> str | None:
--- a/oleanderridge/health/service.py
+++ b/oleanderridge/health/service.py
@@ -187,8 +187,7 @@
         self._note_observer(host, zone, now)
         if outcome == 'draining':
             self._cache.clear()
-            record.state = DRAINING
-            record.state_until = now + self._policy['ejection_s']
+            record.begin_draining(now, self._policy)
         elif outcome == 'shed':
             self._cache.clear()
             record.pause(now)
@@ -268,15 +267,23 @@
         due = []
         for record in self._by_name.values():
             self._advance_state(record, now)
-            if record.state == PROBING and now >= record.next_probe_at:
+            if record.awaits_probe(now):
                 record.next_probe_at = now + _PROBE_INTERVAL_S
                 due.append(record.name)
         return tuple(due)
 
     def record_probe(self, target: str, succeeded: bool, now: float) -> None:
-        """Restore a target after a good probe; eject it again otherwise."""
+        """Restore a target after a good probe; eject it again otherwise.
+
+        A draining target returns with a good probe only, however many fail:
+        work that it gets while it leaves may be lost.
+        """
         record = self._by_name.get(target)
-        if record is None or record.state != PROBING:
+        if record is None or record.state not in {PROBING, DRAINING}:
+            return
+        if record.state == DRAINING:
+            if succeeded:
+                self._restore(record, now)
             return
         record.probe_count += 1
         if succeeded or record.probe_count >= _PROBES_MAX:
@@ -474,6 +481,9 @@
         )
 
     def _eject(self, record: TargetHealth, reason: str, now: float) -> None:
+        if record.state == DRAINING:
+            # An ejection would let it return without a good probe.
+            return
         self._cache.clear()
         record.eject(reason, now, self._policy)
 
@@ -490,12 +500,13 @@
         record.restore(now, self._policy)
 
     def _advance_state(self, record: TargetHealth, now: float) -> None:
-        if record.state in {EJECTED, DRAINING} and now >= record.state_until:
-            if self._service.get('health_path'):
-                record.state = PROBING
-                record.next_probe_at = now
-            else:
-                self._restore(record, now)
+        if record.state not in {EJECTED, DRAINING} or now < record.state_until:
+            return
+        if not self._service.get('health_path'):
+            self._restore(record, now)
+        elif record.state == EJECTED:
+            record.state = PROBING
+            record.next_probe_at = now
 
     def _compute_candidates(
         self, host: str, now: float, leaving: Collection[str]
--- a/oleanderridge/health/target.py
+++ b/oleanderridge/health/target.py
@@ -120,6 +120,18 @@
         self.ejections += 1
         self.probe_count = 0
 
+    def begin_draining(self, now: float, policy: HealthPolicy) -> None:
+        """Stop sending, because the target announced that it is leaving."""
+        self.state = DRAINING
+        self.state_until = now + policy['ejection_s']
+        self.next_probe_at = self.state_until
+
+    def awaits_probe(self, now: float) -> bool:
+        """Return whether a probe decides about the return of the target."""
+        if self.state not in {PROBING, DRAINING}:
+            return False
+        return now >= self.next_probe_at
+
     def restore(self, now: float, policy: HealthPolicy) -> None:
         """Return the target to service in slow start, without evidence."""
         self.state = HEALTHY
--- a/oleanderridge/runtime/probes.py
+++ b/oleanderridge/runtime/probes.py
@@ -7,10 +7,12 @@
 
 from aiohttp import ClientError, ClientSession, ClientTimeout
 
+from oleanderridge.health.target import DRAINING
 from oleanderridge.runtime.node import Node
 
 _CHECK_S = 1
 _TIMEOUT_S = 2
+_STATE_HEADER = 'Target-State'
 
 
 async def run_probes(node: Node) -> None:
@@ -19,7 +21,8 @@
     Parameters
     ----------
     node : Node
-        The host; it probes only for services that it brokers.
+        The host; it probes for services that it brokers or that it served
+        alone.
     """
     timeout = ClientTimeout(total=_TIMEOUT_S)
     async with ClientSession(timeout=timeout) as session:
@@ -34,12 +37,15 @@
     session: ClientSession,
     service: str,
 ) -> None:
-    health = node.broker.health(service)
-    if health is None:
-        return
-    for target in health.probes_due(node.clock()):
-        succeeded = await _probe(node, session, service, target)
-        health.record_probe(target, succeeded, node.clock())
+    for health in (
+        node.broker.health(service),
+        node.fallback.known_health(service),
+    ):
+        if health is None:
+            continue
+        for target in health.probes_due(node.clock()):
+            succeeded = await _probe(node, session, service, target)
+            health.record_probe(target, succeeded, node.clock())
 
 
 async def _probe(
@@ -55,6 +61,7 @@
     try:
         async with session.get(url + path) as response:
             await response.read()
-            return response.status == HTTPStatus.OK
+            state = response.headers.get(_STATE_HEADER, '').strip().lower()
+            return response.status == HTTPStatus.OK and state != DRAINING
     except (ClientError, TimeoutError):
         return False
--- a/tests/test_service_health.py
+++ b/tests/test_service_health.py
@@ -158,6 +158,33 @@
     assert _candidate_names(health, 3, leaving=('t5',)) == set()
 
 
+def _probe_drained(health, now, succeeded):
+    for target in health.probes_due(now):
+        health.record_probe(target, succeeded, now)
+
+
+def test_a_target_that_goes_on_draining_gets_no_work(health):
+    """Guards against work for a target whose announcement is long ago.
+
+    Neither failed probes nor the floor nor further failures bring it back.
+    """
+    for index in range(5):
+        health.record_outcome('h0', 'a', f't{index}', 'draining', 50, 3)
+    for now in range(4, 120):
+        _probe_drained(health, now, succeeded=False)
+        _report_failures(health, 't1', ('h0', 'h1', 'h2'), now)
+        assert _candidate_names(health, now) == {'t5'}
+
+
+def test_a_target_that_stops_draining_returns_with_a_good_probe(health):
+    """Guards against a target that stays unused after it changed its mind."""
+    health.record_outcome('h0', 'a', 't1', 'draining', 50, 3)
+    for now in range(4, 16):
+        assert 't1' not in _candidate_names(health, now)
+        _probe_drained(health, now, succeeded=now > 14)
+    assert 't1' in _candidate_names(health, 16)
+
+
 def test_a_deadline_that_was_too_close_is_no_failure(health):
     """Guards against ejection because callers had little time left."""
     _report_failures(health, 't1', ('h0', 'h1', 'h2') * 3, 3, 'timeout')
