Judge each request by the latencies of its route

Cause: a service had one estimate of its latencies, and the median of quick routes stood for all. The wait of a queue was counted with the median of 3 ms.

Ruled out: the rule that a target known to fail gets tests only (it holds while another target is below 0.6, and none was), a leader that nobody heard, paths.

Change: one histogram a route, the 256 last used of a service, for failover, lateness, slowness and the age of what is unanswered; the mean of all answers for the time that a queue needs. Three tests replay the load; red before.

--- a/oleanderridge/dispatch/placement.py
+++ b/oleanderridge/dispatch/placement.py
@@ -179,7 +179,9 @@
         refused = self._check_limits(request, service, now)
         if refused is not None:
             return refused
-        entry = PendingRequest(request, now, now + request.left_ms / 1000)
+        typical_s = service.latencies_of(request.route).quantile(0.5)
+        deadline = now + request.left_ms / 1000
+        entry = PendingRequest(request, now, deadline, typical_s)
         target = self._choose(entry, service, now)
         if target is not None:
             return self._grant(entry, service, target, now)
@@ -222,7 +224,9 @@
         if outcome is Outcome.ANSWERED and message.answer_bytes:
             service.record_answer_size(attempt.route, message.answer_bytes)
         latency_s = message.latency_ms / 1000
-        state.end(attempt, outcome, latency_s, service.latencies, now)
+        if outcome is Outcome.ANSWERED:
+            service.record_latency(latency_s)
+        state.end(attempt, outcome, latency_s, service.latencies_of, now)
         return self._serve_waiting(service, now)
 
     def tick(self, now: float) -> AddressedReplies:
@@ -267,7 +271,7 @@
         attempt = Attempt(
             host, False, now, now, '', state.record.service, False
         )
-        state.end(attempt, outcome, latency_s, service.latencies, now)
+        state.end(attempt, outcome, latency_s, service.latencies_of, now)
 
     def doubtful_targets(self, now: float) -> list[str]:
         """Return the targets that are considered doubtful."""
@@ -275,7 +279,7 @@
             target
             for target, state in self._targets_by_id.items()
             if state.probability_bad(
-                now, self._service(state.record.service, now).latencies
+                now, self._service(state.record.service, now).latencies_of
             )
             > DOUBTFUL_PROBABILITY
         ]
@@ -305,7 +309,8 @@
                 'flights': len(state.attempts),
                 'probability_bad': round(
                     state.probability_bad(
-                        now, self._service(state.record.service, now).latencies
+                        now,
+                        self._service(state.record.service, now).latencies_of,
                     ),
                     3,
                 ),
@@ -360,7 +365,7 @@
         now: float,
     ) -> Grant:
         request = entry.request
-        probability_bad = state.probability_bad(now, service.latencies)
+        probability_bad = state.probability_bad(now, service.latencies_of)
         attempt = Attempt(
             request.host,
             request.unsafe,
@@ -411,13 +416,15 @@
         """
         if not can_be_placed(entry.request, service):
             return None
-        typical_s = service.latencies.quantile(0.5)
+        request = entry.request
         slots = max(1, service.healthy_slots(now))
-        ahead = service.queue.count_ahead(entry.request.priority)
-        wait_s = ahead * typical_s / slots
-        if now + wait_s + typical_s > entry.deadline:
+        ahead = service.queue.count_ahead(request.priority)
+        wait_s = ahead * service.mean_latency_s / slots
+        if now + wait_s > entry.start_by():
             return None
-        on_time_s = service.latencies.quantile(_ON_TIME_LATENCY_QUANTILE)
+        on_time_s = service.latencies_of(request.route).quantile(
+            _ON_TIME_LATENCY_QUANTILE
+        )
         late_at = entry.late_at(on_time_s)
         if wait_s <= _MAX_WAIT_FRACTION * (late_at - now):
             return late_at
@@ -428,20 +435,18 @@
     ) -> Refused:
         request = entry.request
         self._refund(request, service, now)
-        typical_s = service.latencies.quantile(0.5)
         queue_rounds = 1 + len(service.queue) / max(
             1, service.healthy_slots(now)
         )
-        wait_s = max(_MIN_RETRY_AFTER_S, queue_rounds * typical_s)
+        wait_s = max(_MIN_RETRY_AFTER_S, queue_rounds * service.mean_latency_s)
         return Refused(request.permit, NO_TARGET, int(wait_s * 1000))
 
     def _serve_waiting(
         self, service: ServiceState, now: float
     ) -> AddressedReplies:
-        typical_s = service.latencies.quantile(0.5)
         replies: AddressedReplies = [
             (entry.request.host, self._refuse_unplaced(entry, service, now))
-            for entry in service.queue.pop_expired(now + typical_s)
+            for entry in service.queue.pop_expired(now)
         ]
         unplaced = 0
         for entry in service.queue.in_order(now):
--- a/oleanderridge/dispatch/selection.py
+++ b/oleanderridge/dispatch/selection.py
@@ -159,7 +159,8 @@
     if probability_bad > _PROBE_MIN_PROBABILITY:
         quantile_share = _FAILOVER_QUANTILE_DOUBTFUL
     delay_s = (
-        service.latencies.quantile(quantile_share) * _FAILOVER_MARGIN_FACTOR
+        service.latencies_of(request.route).quantile(quantile_share)
+        * _FAILOVER_MARGIN_FACTOR
     )
     max_s = _FAILOVER_MAX_AIM_FRACTION * request.aim_ms / 1000
     return max(1, int(min(delay_s, max_s) * 1000))
@@ -220,11 +221,11 @@
     service: ServiceState,
     now: float,
 ) -> bool:
-    latencies = service.latencies
-    if best.probability_bad(now, latencies) < _PROBE_ONLY_PROBABILITY:
+    latencies_of = service.latencies_of
+    if best.probability_bad(now, latencies_of) < _PROBE_ONLY_PROBABILITY:
         return False
     return any(
-        state.probability_bad(now, latencies) < DOUBTFUL_PROBABILITY
+        state.probability_bad(now, latencies_of) < DOUBTFUL_PROBABILITY
         for state in full
     )
 
@@ -240,10 +241,10 @@
     The threshold rises as the request uses up its latency target. It is
     infinite for a request that must start now.
     """
-    typical_s = service.latencies.quantile(0.5)
+    request = entry.request
+    typical_s = service.latencies_of(request.route).quantile(0.5)
     if now + _LAST_START_LATENCIES * typical_s > entry.deadline:
         return math.inf
-    request = entry.request
     elapsed_fraction = entry.elapsed_s(now) * 1000 / request.aim_ms
     can_fail_over = (
         request.may_repeat and cross_zone_cost < _HIGH_CROSS_ZONE_COST
@@ -259,7 +260,7 @@
     cost_settings: Costs,
     now: float,
 ) -> Callable[[TargetState], float]:
-    request, latencies = entry.request, service.latencies
+    request, latencies_of = entry.request, service.latencies_of
     loss_cost = _loss_cost(request, cost_settings)
     cross_zone_cost = _cross_zone_cost(request, service, cost_settings)
     if request.may_repeat:
@@ -269,14 +270,14 @@
     on_time_s = max(
         _MIN_LATENCY_BUDGET_S, _LATE_RISK_FRACTION * aim_remaining_s
     )
-    typical_s = latencies.quantile(_TYPICAL_LATENCY_QUANTILE)
+    typical_s = latencies_of(request.route).quantile(_TYPICAL_LATENCY_QUANTILE)
     zone, host = request.zone, request.host
     shared_cost = _CONCURRENT_REQUEST_COST
     if request.unsafe:
         shared_cost = _CONCURRENT_REQUEST_COST_UNSAFE
 
     def cost(state: TargetState) -> float:
-        probability_bad = state.probability_bad(now, latencies)
+        probability_bad = state.probability_bad(now, latencies_of)
         total_cost = loss_cost * max(
             probability_bad * probability_bad,
             min(probability_bad, _MAX_LINEAR_RISK),
@@ -337,7 +338,7 @@
         if not state.attempts
         and (state.answered_last or now - state.last_sent > _PROBE_INTERVAL_S)
         and (state.record.zone == request.zone or not same_zone_only)
-        and state.probability_bad(now, service.latencies)
+        and state.probability_bad(now, service.latencies_of)
         > _PROBE_MIN_PROBABILITY
     ]
     if not probe_due or service.budget.remaining(now) < _PROBE_RETRY_RESERVE:
--- a/oleanderridge/dispatch/service_state.py
+++ b/oleanderridge/dispatch/service_state.py
@@ -12,11 +12,21 @@
 from oleanderridge.dispatch.waiting_line import RequestQueue
 from oleanderridge.health.belief import LatencyHistogram
 
+# Routes of one service whose latencies are kept; the longest unused go first.
+_MAX_ROUTES: Final = 256
+# Assumed mean latency before the first answer, relative to the latency target.
+_INITIAL_MEAN_AIM_FRACTION: Final = 0.3
+_MEAN_SMOOTHING: Final = 0.03
 # Assumed size of a request and its answer on a route without measurements.
 _DEFAULT_EXCHANGE_KB: Final = 4.0
 _SIZE_SMOOTHING: Final = 0.1
 # How long the count of healthy slots is cached.
 _HEALTHY_SLOTS_TTL_S: Final = 0.05
+# Routes of one service whose latencies are kept; the longest unused go first.
+_MAX_ROUTES: Final = 256
+# Assumed mean latency before the first answer, relative to the latency target.
+_INITIAL_MEAN_AIM_FRACTION: Final = 0.3
+_MEAN_SMOOTHING: Final = 0.03
 # Assumed size of a request and of the headers in both directions.
 _REQUEST_AND_HEADERS_KB: Final = 1.2
 
@@ -27,20 +37,44 @@
     Parameters
     ----------
     aim_s : float
-        Latency target in seconds.
+        Latency target in seconds, the first estimate for each route.
     budget : RetryBudget
         Limits the retries.
     """
 
     def __init__(self, aim_s: float, budget: RetryBudget) -> None:
-        self.latencies = LatencyHistogram(aim_s)
+        self.mean_latency_s = _INITIAL_MEAN_AIM_FRACTION * aim_s
         self.budget = budget
         self.queue = RequestQueue()
         self.targets: list[TargetState] = []
+        self._aim_s = aim_s
+        self._latencies_by_route: dict[str, LatencyHistogram] = {}
         self._exchange_kb_by_route: dict[str, float] = {}
         self._healthy_slots = 0
         self._healthy_slots_until: float = 0
 
+    def latencies_of(self, route: str) -> LatencyHistogram:
+        """Return the latencies of a route.
+
+        The routes of one service may differ by orders of magnitude, so a
+        request is judged by those of its own route.
+        """
+        # Moves the route to the end of the order of use.
+        latencies = self._latencies_by_route.pop(route, None)
+        if latencies is None:
+            latencies = LatencyHistogram(self._aim_s)
+            while len(self._latencies_by_route) >= _MAX_ROUTES:
+                longest_unused = next(iter(self._latencies_by_route))
+                del self._latencies_by_route[longest_unused]
+        self._latencies_by_route[route] = latencies
+        return latencies
+
+    def record_latency(self, latency_s: float) -> None:
+        """Update the mean time for which an answered request holds a slot."""
+        self.mean_latency_s += _MEAN_SMOOTHING * (
+            latency_s - self.mean_latency_s
+        )
+
     def exchange_kb(self, route: str) -> float:
         """Return the average size of a request and its answer on a route."""
         return self._exchange_kb_by_route.get(route, _DEFAULT_EXCHANGE_KB)
@@ -60,7 +94,7 @@
             self._healthy_slots = sum(
                 state.record.slots
                 for state in self.targets
-                if state.probability_bad(now, self.latencies)
+                if state.probability_bad(now, self.latencies_of)
                 < DOUBTFUL_PROBABILITY
             )
         return self._healthy_slots
--- a/oleanderridge/dispatch/target_state.py
+++ b/oleanderridge/dispatch/target_state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Final, NamedTuple
 
 from oleanderridge.gateway.model import TargetRecord
@@ -31,6 +32,10 @@
 _COLD_SLOWNESS_FACTOR: Final = 2.0
 
 
+# Returns the latencies of a route.
+LatencyLookup = Callable[[str], LatencyHistogram]
+
+
 class Attempt(NamedTuple):
     """One request that holds a slot of the target."""
 
@@ -119,21 +124,24 @@
             < _KEEP_ALIVE_S
         )
 
-    def probability_bad(self, now: float, latencies: LatencyHistogram) -> float:
+    def probability_bad(self, now: float, latencies_of: LatencyLookup) -> float:
         """Return the probability that the next request fails."""
         if now != self._probability_at:
             unanswered = [
-                (now - attempt.started, self._is_overtaken(attempt))
+                (
+                    latencies_of(attempt.route).survival(now - attempt.started),
+                    self._is_overtaken(attempt),
+                )
                 for attempt in self.attempts.values()
             ]
             self._probability_at = now
             self._cached_probability = self.failure_estimate.probability(
-                now, unanswered, latencies
+                now, unanswered
             )
         return self._cached_probability
 
     def slowness(self, now: float) -> float:
-        """Return the ratio of expected latency to the service's median."""
+        """Return the ratio of expected latency to the route's median."""
         half_lives = max(0, now - self._slowness_at) / _SLOWNESS_HALF_LIFE_S
         decayed = 1 + (self._slowness - 1) * 0.5**half_lives
         return (
@@ -154,7 +162,7 @@
         attempt: Attempt,
         outcome: Outcome,
         latency_s: float,
-        latencies: LatencyHistogram,
+        latencies_of: LatencyLookup,
         now: float,
     ) -> None:
         """Record the outcome of an attempt.
@@ -167,15 +175,17 @@
             Outcome that the host observed.
         latency_s : float
             Duration of the attempt in seconds.
-        latencies : LatencyHistogram
-            Latencies of the service; the latency of an answer is added.
+        latencies_of : callable
+            Latencies by route; the latency of an answer is added.
         now : float
             Monotonic seconds.
         """
         self._probability_at = -1
         self.answered_last = outcome is Outcome.ANSWERED
         if outcome is Outcome.ANSWERED:
-            self._on_answer(attempt, latency_s, latencies, now)
+            self._on_answer(
+                attempt, latency_s, latencies_of(attempt.route), now
+            )
         elif outcome in (Outcome.FAILED, Outcome.GARBLED):
             self.failure_estimate.record_failure(now)
         elif outcome in (Outcome.HUNG, Outcome.RESET):
--- a/oleanderridge/dispatch/waiting_line.py
+++ b/oleanderridge/dispatch/waiting_line.py
@@ -16,11 +16,19 @@
 
 
 class PendingRequest(NamedTuple):
-    """A request for a slot; times are monotonic seconds."""
+    """A request for a slot; times are monotonic seconds.
+
+    ``typical_s`` is the median latency of its route.
+    """
 
     request: Acquire
     arrived: float
     deadline: float
+    typical_s: float = 0
+
+    def start_by(self) -> float:
+        """Return the latest start time that can meet the deadline."""
+        return self.deadline - self.typical_s
 
     def elapsed_s(self, now: float) -> float:
         """Return the seconds since the caller's first attempt."""
@@ -45,7 +53,7 @@
         self._on_time: list[_SortKey] = []
         self._late: list[_SortKey] = []
         self._late_heap: list[tuple[float, int]] = []
-        self._deadline_heap: list[tuple[float, int]] = []
+        self._start_by_heap: list[tuple[float, int]] = []
 
     def __len__(self) -> int:
         """Return the number of queued requests."""
@@ -69,7 +77,7 @@
         self._by_permit[permit] = entry
         insort(self._on_time, _sort_key(entry))
         heappush(self._late_heap, (late_at, permit))
-        heappush(self._deadline_heap, (entry.deadline, permit))
+        heappush(self._start_by_heap, (entry.start_by(), permit))
 
     def pop(self, permit: int) -> PendingRequest | None:
         """Remove and return a request, or return None."""
@@ -81,10 +89,10 @@
             )
         return entry
 
-    def pop_expired(self, start_by: float) -> Iterator[PendingRequest]:
-        """Remove and yield the requests whose deadline is before a time."""
-        while self._deadline_heap and self._deadline_heap[0][0] < start_by:
-            entry = self.pop(heappop(self._deadline_heap)[1])
+    def pop_expired(self, now: float) -> Iterator[PendingRequest]:
+        """Remove and yield the requests that can't meet their deadline."""
+        while self._start_by_heap and self._start_by_heap[0][0] < now:
+            entry = self.pop(heappop(self._start_by_heap)[1])
             if entry is not None:
                 yield entry
 
--- a/oleanderridge/health/belief.py
+++ b/oleanderridge/health/belief.py
@@ -52,12 +52,13 @@
 _SURVIVAL_MIN: Final = 0.006
 
 
-# Age of a request in seconds, and whether another was answered meanwhile.
+# Share of good answers that take longer than the request has waited, and
+# whether another request was answered meanwhile.
 UnansweredRequest = tuple[float, bool]
 
 
 class LatencyHistogram:
-    """Decaying histogram of the latencies of a service's complete answers.
+    """Decaying histogram of the latencies of complete answers.
 
     Parameters
     ----------
@@ -146,7 +147,6 @@
         self,
         now: float,
         unanswered: Sequence[UnansweredRequest],
-        latencies: LatencyHistogram,
     ) -> float:
         """Return the probability, given also the unanswered requests.
 
@@ -156,8 +156,6 @@
             Monotonic seconds.
         unanswered : sequence of UnansweredRequest
             Requests in flight at the target.
-        latencies : LatencyHistogram
-            Latency distribution of the service.
 
         Returns
         -------
@@ -168,8 +166,7 @@
         if not unanswered:
             return value
         odds = value / (1 - value)
-        for age_s, overtaken in unanswered:
-            likelihood_good = latencies.survival(age_s)
+        for likelihood_good, overtaken in unanswered:
             likelihood_bad = (
                 _BAD_HANG_PROBABILITY
                 + (1 - _BAD_HANG_PROBABILITY) * likelihood_good
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -304,17 +304,21 @@
     """Guards against a cut path that fails a request every three seconds."""
     state = TargetState(record('a'), 100)
     latencies = LatencyHistogram(0.4)
+
+    def latencies_of(_route):
+        return latencies
+
     attempt = Attempt('10.1.0.9', True, 100, 101, 'r', 'lookup', False)
     now, lengths = 100.0, []
     for _ in range(4):
-        state.end(attempt, Outcome.NOT_SENT, 0.1, latencies, now)
+        state.end(attempt, Outcome.NOT_SENT, 0.1, latencies_of, now)
         began = now
         while state.is_avoided_by('10.1.0.9', now):
             now += 0.1
         lengths.append(round(now - began))
     assert lengths == [3, 6, 12, 12]
-    state.end(attempt, Outcome.ANSWERED, 0.1, latencies, now)
-    state.end(attempt, Outcome.NOT_SENT, 0.1, latencies, now)
+    state.end(attempt, Outcome.ANSWERED, 0.1, latencies_of, now)
+    state.end(attempt, Outcome.NOT_SENT, 0.1, latencies_of, now)
     assert not state.is_avoided_by('10.1.0.9', now + 3.1)
 
 
@@ -406,3 +410,75 @@
     world.placement._choose = counted
     world.release(held)
     return calls
+
+
+def _answer_mixed_routes(world, seconds, quick_share=2):
+    """Answer requests of 300 ms and ``quick_share`` as many of 3 ms."""
+    for _ in range(seconds * 8):
+        slow = world.acquire(route='search', aim_ms=1000, left_ms=5000)
+        for _ in range(quick_share):
+            quick = world.acquire(route='ping', aim_ms=1000, left_ms=5000)
+            world.release(quick, Outcome.ANSWERED, 0.003)
+        world.now += 0.1
+        message = Release(slow.permit, Outcome.ANSWERED, 300, 500)
+        world.placement.release(message, world.now)
+
+
+def test_a_slow_route_is_not_taken_for_a_hanging_target():
+    """Guards against doubt in sound targets because other routes are quick.
+
+    Load: most of a service's requests take 3 ms, the others 300 ms
+    (zpvs-gateway quiet-1; the quick ones grow with the hosts). With one latency
+    estimate for the service, a full sound target looked as if it hung, and a
+    target that failed at once drew the queue.
+    """
+    world = PlacementWorld(record('bad'), record('good'))
+    _answer_mixed_routes(world, 5, quick_share=10)
+    _fail_repeatedly(world, 'bad', ['good'])
+    held = [
+        world.acquire(route='search', aim_ms=1000, left_ms=5000)
+        for _ in range(2)
+    ]
+    assert [each.target for each in held] == ['good', 'good']
+    world.now += 0.25
+    [good] = [
+        each
+        for each in world.placement.snapshot(world.now)
+        if each['target'] == 'good'
+    ]
+    assert good['probability_bad'] < 0.3
+    waiting = world.acquire(
+        route='search', aim_ms=1000, left_ms=5000, may_repeat=False
+    )
+    assert isinstance(waiting, Queued)
+
+
+def test_a_slow_route_fails_over_by_its_own_latencies():
+    """Guards against a second send while the first runs as usual."""
+    world = PlacementWorld(record('a'), record('b'))
+    _answer_mixed_routes(world, 20)
+    slow = world.acquire(route='search', aim_ms=1000)
+    quick = world.acquire(route='ping', aim_ms=1000)
+    assert slow.move_ms > 300
+    assert quick.move_ms < 300
+
+
+def test_the_wait_is_judged_by_the_mean_of_all_routes():
+    """Guards against a queue that is taken for short because most are quick.
+
+    The time that a queue needs follows from the mean, not from the median.
+    """
+    world = PlacementWorld(record('a'))
+    _answer_mixed_routes(world, 20)
+    held = [
+        world.acquire(route='search', aim_ms=1000, left_ms=5000)
+        for _ in range(2)
+    ]
+    assert all(isinstance(each, Grant) for each in held)
+    queued = 0
+    while isinstance(
+        world.acquire(route='search', aim_ms=600, left_ms=900), Queued
+    ):
+        queued += 1
+    # Two slots and 0.1 s a request on average: about 12 in 0.6 s.
+    assert 3 <= queued <= 14
