Send only what changed of the list of hosts

Cause: a host whose checksum differed from the leader's fetched the whole list.

Ruled out: fetching less often, which keeps leaving hosts in answers for longer.

Change: a host numbers the changes of its list, and a host that has the list up to a number gets what came after it. Where that doesn't lead to the leader's checksum, or the leader is another process, the whole list is sent. Hosts that did not change count as heard when the checksums agree.

--- a/oleanderridge/gateway/fleet_sync.py
+++ b/oleanderridge/gateway/fleet_sync.py
@@ -6,7 +6,7 @@
 import logging
 from collections.abc import Callable
 from random import Random
-from typing import Final
+from typing import Final, NamedTuple
 
 from result import Err
 
@@ -41,6 +41,14 @@
 _ADVICE_TTL_S: Final = 0.1
 
 
+class _KnownMembers(NamedTuple):
+    """The last change of a leader's list of hosts that this host has."""
+
+    host: str
+    incarnation: int
+    at: int
+
+
 class FleetSync:
     """Publishes the state of this host and fetches newer state from peers.
 
@@ -78,6 +86,7 @@
         self._fetches_in_progress: set[str] = set()
         self._tasks: set[asyncio.Task] = set()
         self._members_fetched_at: float = 0
+        self._known_members = _KnownMembers('', 0, 0)
         self._leader = ''
         self._advice: tuple[list[str], list[str]] = ([], [])
         self._advice_until: float = 0
@@ -171,18 +180,31 @@
             records, removed = list(table.by_id.values()), []
         else:
             records, removed = table.since(request.targets_revision)
-        members = []
-        if request.members_digest != self._roster.digest(now):
-            members = self._roster.entries(now)
-        return SyncReply(
+        reply = SyncReply(
             config,
             table.revision,
             whole,
             [_to_entry(record) for record in records],
             removed,
-            members,
+            [],
             self._beliefs.age_ms(now),
         )
+        if request.members_digest != self._roster.digest(now):
+            self._add_members(reply, request, now)
+        return reply
+
+    def _add_members(
+        self, reply: SyncReply, request: SyncRequest, now: float
+    ) -> None:
+        changes = self._roster.changes_since(
+            request.members_incarnation, request.members_since, now
+        )
+        reply.members = changes.entries
+        reply.members_whole = changes.whole
+        reply.members_removed = changes.removed
+        reply.members_incarnation = self._roster.incarnation
+        reply.members_at = changes.at
+        reply.members_digest = self._roster.digest(now)
 
     def _discovery_hosts(self) -> set[str]:
         others = self._roster.peer_hosts()
@@ -302,6 +324,7 @@
             table.revision if table.by_id else 0,
             table.digest,
             self._roster.digest(_now()),
+            *self._members_known_from(host),
         )
         fetched = await fetch_sync(host, self._peers['port'], request)
         if isinstance(fetched, Err):
@@ -315,14 +338,39 @@
             return
         reply = fetched.ok_value
         now = _now()
-        if reply.members:
-            from_leader = host == self._roster.leader(now)
-            self._roster.merge(reply.members, now, whole=from_leader)
+        self._apply_members(host, reply, now)
         self._apply_targets(reply)
         if reply.config:
             self._beliefs.offer(bytes(reply.config), host)
         self._beliefs.confirm(now - reply.store_age_ms / 1000)
 
+    def _members_known_from(self, host: str) -> tuple[int, int]:
+        known = self._known_members
+        return (known.incarnation, known.at) if known.host == host else (0, 0)
+
+    def _apply_members(self, host: str, reply: SyncReply, now: float) -> None:
+        roster = self._roster
+        from_leader = host == roster.leader(now)
+        if reply.members_whole:
+            if reply.members:
+                roster.merge(reply.members, now, whole=from_leader)
+        else:
+            roster.merge(reply.members, now, whole=False)
+            if from_leader:
+                roster.mark_removed(reply.members_removed, now)
+        if not from_leader or not reply.members_at:
+            return
+        same = roster.digest(now) == reply.members_digest
+        if same:
+            roster.refresh_alive(now)
+        if same or reply.members_whole:
+            self._known_members = _KnownMembers(
+                host, reply.members_incarnation, reply.members_at
+            )
+        else:
+            # Changes alone don't lead to the leader's list: ask for all of it.
+            self._known_members = _KnownMembers('', 0, 0)
+
     def _apply_targets(self, reply: SyncReply) -> None:
         table = self._beliefs.table
         records = [_to_record(entry) for entry in reply.targets]
--- a/oleanderridge/membership/roster.py
+++ b/oleanderridge/membership/roster.py
@@ -48,6 +48,19 @@
     strength: int = 0
 
 
+class MemberChanges(NamedTuple):
+    """What changed in the list of live hosts, for another host.
+
+    ``at`` numbers the last change that is included. With ``whole``, ``entries``
+    is the whole list and nothing is ``removed``.
+    """
+
+    entries: list[MemberEntry]
+    removed: list[str]
+    whole: bool
+    at: int
+
+
 class _RankOrder(NamedTuple):
     """The live hosts in rank order, with the checksum of their states.
 
@@ -88,6 +101,11 @@
         # Kept between heartbeats that change nothing: a leader gets several
         # from each host in a second, and needs the order for each of them.
         self._rank_order: _RankOrder | None = None
+        # Numbered changes of the list of live hosts, to send only those that
+        # another host lacks.
+        self._last_change = 0
+        self._change_by_host: dict[str, int] = {}
+        self._identity_by_host: dict[str, tuple[int, int]] = {}
 
     def own_entry(self, now: float) -> RosterMember:
         """Return the entry of this host."""
@@ -279,17 +297,43 @@
 
     def entries(self, now: float) -> list[MemberEntry]:
         """Return the live hosts as wire entries for another host."""
-        return [
-            MemberEntry(
-                each.host,
-                each.zone,
-                each.incarnation,
-                each.state,
-                int((now - each.heard_at) * 1000),
-                each.strength,
-            )
-            for each in self.alive(now)
+        return [_to_entry(each, now) for each in self.alive(now)]
+
+    def changes_since(
+        self, incarnation: int, change: int, now: float
+    ) -> MemberChanges:
+        """Return the changes that another host lacks.
+
+        Parameters
+        ----------
+        incarnation : int
+            Process of this host that numbered ``change``.
+        change : int
+            Last change that the other host has; 0 for none.
+        now : float
+            Monotonic seconds.
+
+        Returns
+        -------
+        MemberChanges
+            The whole list if the number is of another process.
+        """
+        members = self.alive(now)
+        if incarnation != self.incarnation or not change > 0:
+            entries = [_to_entry(each, now) for each in members]
+            return MemberChanges(entries, [], True, self._last_change)
+        changed = {
+            host for host, at in self._change_by_host.items() if at > change
+        }
+        entries = [
+            _to_entry(each, now) for each in members if each.host in changed
         ]
+        removed = changed - {entry.host for entry in entries}
+        return MemberChanges(entries, sorted(removed), False, self._last_change)
+
+    def mark_removed(self, hosts: Iterable[str], now: float) -> None:
+        """Mark hosts silent that another host's list no longer has."""
+        self._mark_silent(self._by_host.keys() & set(hosts), now)
 
     def known_host_count(self, now: float) -> int:
         """Return how many hosts may be running, including silent ones.
@@ -348,6 +392,7 @@
         )
         members.append(self.own_entry(now))
         members.sort(key=_rank_key)
+        self._number_changes(members)
         text = ','.join(
             f'{each.host}:{each.incarnation}:{each.state}'
             for each in sorted(members)
@@ -359,6 +404,18 @@
             oldest_heard_at + self._peers['silent_s'],
         )
 
+    def _number_changes(self, members: list[RosterMember]) -> None:
+        identity_by_host = {
+            member.host: (member.incarnation, member.state)
+            for member in members
+        }
+        changed = identity_by_host.items() ^ self._identity_by_host.items()
+        if changed:
+            self._last_change += 1
+            for host, _ in changed:
+                self._change_by_host[host] = self._last_change
+            self._identity_by_host = identity_by_host
+
     def _store(self, member: RosterMember, now: float) -> None:
         """Replace an entry; only a new time leaves the order as it is."""
         known = self._by_host.get(member.host)
@@ -401,6 +458,17 @@
         )
 
 
+def _to_entry(member: RosterMember, now: float) -> MemberEntry:
+    return MemberEntry(
+        member.host,
+        member.zone,
+        member.incarnation,
+        member.state,
+        int((now - member.heard_at) * 1000),
+        member.strength,
+    )
+
+
 def _rank_key(member: RosterMember) -> tuple[bool, int, int, str]:
     # The leader places requests for the whole fleet, so larger hosts rank
     # before smaller ones.
