Bound what a target may send without end

Cause: a body could grow to 64 MB on each connection, on hosts of 200 MB, and 1xx answers had no bound; heads, chunk heads and trailers were bounded by the parser already (shown by taking its bound out: the tests of chunk extensions and chunk sizes then run into their time limit).

Change: settings for the head, the body, 1xx answers and the part of the memory that unfinished answers of all targets may take together. The connection ends, the outcome is garbled and counts against the target, and the caller gets 502. 15 tests, twelve places of an answer, a shared bound and one byte at a time; those of 1xx answers and bodies fail without the bounds.

--- a/oleanderridge/gateway/process.py
+++ b/oleanderridge/gateway/process.py
@@ -26,8 +26,8 @@
 from oleanderridge.gateway.public_pages import PublicPages
 from oleanderridge.gateway.reload import SettingsReload
 from oleanderridge.generated.fleet import Acquire, Beat, Refused, Release
-from oleanderridge.generated.gateway import GatewaySettings
-from oleanderridge.http1.client import ConnectionPool
+from oleanderridge.generated.gateway import BoundSettings, GatewaySettings
+from oleanderridge.http1.client import AnswerLimits, ConnectionPool
 from oleanderridge.http1.server import Edge, EdgeLimits
 from oleanderridge.membership.roster import LEAVING, READY, Roster
 from oleanderridge.platform.store import StoreClient
@@ -106,8 +106,9 @@
         self._follower = StoreFollower(
             settings, self._store, self._beliefs.table, self._follower_ports()
         )
+        bounds = settings['bounds']
         self._pool = ConnectionPool(
-            _CONNECT_TIMEOUT_S, settings['bounds']['connections'] // 2
+            _CONNECT_TIMEOUT_S, bounds['connections'] // 2, _limits(bounds)
         )
         self._limits = EdgeLimits()
         self._limits.buffered_bytes_max = int(
@@ -412,5 +413,15 @@
     return asyncio.run(main())
 
 
+def _limits(bounds: BoundSettings) -> AnswerLimits:
+    memory_bytes = bounds['memory_mb'] * _MEGABYTE
+    return AnswerLimits(
+        bounds['answer_header_bytes'],
+        bounds['answer_body_bytes'],
+        int(memory_bytes * bounds['answers_memory_share']),
+        bounds['interim_answers'],
+    )
+
+
 def _now() -> float:
     return asyncio.get_running_loop().time()
--- a/oleanderridge/http1/client.py
+++ b/oleanderridge/http1/client.py
@@ -20,8 +20,6 @@
 SHORT: Final = 'short'
 GARBLED: Final = 'garbled'
 
-# Larger responses are rejected: they would not fit in a small host's memory.
-_RESPONSE_BYTES_MAX: Final = 1 << 26
 # A target that leaves sent data unacknowledged for this long is unreachable.
 _TCP_USER_TIMEOUT_MS: Final = 4000
 # Idle connections are dropped this long before the peer's keep-alive timeout.
@@ -31,7 +29,26 @@
 # Responses to other requests that are discarded before the exchange fails.
 _MISMATCHED_RESPONSES_MAX: Final = 2
 _KEEP_ALIVE_TIMEOUT = re.compile(rb'timeout\s*=\s*"?(\d+)')
-_HEADER_BYTES_MAX: Final = 65536
+
+
+class AnswerLimits(NamedTuple):
+    """Bounds on what a peer may send, so that bytes without end do no harm.
+
+    ``unfinished_bytes`` bounds the bodies of all connections of a pool
+    together, ``interim_answers`` the 1xx responses before a final one.
+    """
+
+    header_bytes: int = 65536
+    body_bytes: int = 1 << 25
+    unfinished_bytes: int = 1 << 26
+    interim_answers: int = 8
+
+
+class _UnfinishedBytes:
+    """Bytes of the unfinished answers of a pool."""
+
+    def __init__(self) -> None:
+        self.total = 0
 
 
 class Outbound(NamedTuple):
@@ -67,8 +84,14 @@
 class TargetConnection(asyncio.Protocol):
     """A connection that carries one exchange at a time."""
 
-    def __init__(self) -> None:
+    def __init__(
+        self,
+        limits: AnswerLimits | None = None,
+        unfinished: _UnfinishedBytes | None = None,
+    ) -> None:
         self._loop = asyncio.get_running_loop()
+        self._limits = limits or AnswerLimits()
+        self._unfinished = unfinished or _UnfinishedBytes()
         self._http = self._new_h11_connection()
         self._transport: Any = None
         self._request: Outbound | None = None
@@ -77,6 +100,7 @@
         self._response_head: h11.Response | None = None
         self._body_chunks: list[bytes] = []
         self._body_bytes = 0
+        self._interim_answers = 0
         self._has_response_data = False
         self._mismatched_responses = 0
         self.request_count = 0
@@ -86,7 +110,7 @@
 
     def _new_h11_connection(self) -> h11.Connection:
         return h11.Connection(
-            h11.CLIENT, max_incomplete_event_size=_HEADER_BYTES_MAX
+            h11.CLIENT, max_incomplete_event_size=self._limits.header_bytes
         )
 
     def connection_made(self, transport: Any) -> None:
@@ -171,6 +195,7 @@
         self._response_future = self._loop.create_future()
         self._has_response_data = False
         self._mismatched_responses = 0
+        self._interim_answers = 0
         self.request_count += 1
         self._clear_response()
         if self.closed:
@@ -185,6 +210,7 @@
             raise
         finally:
             self._response_future = None
+            self._clear_response()
         self._finish_exchange(response)
         return response
 
@@ -209,6 +235,7 @@
     def _clear_response(self) -> None:
         self._response_head = None
         self._body_chunks = []
+        self._unfinished.total -= self._body_bytes
         self._body_bytes = 0
 
     def _parse(self, data: bytes) -> None:
@@ -221,7 +248,10 @@
                 event = self._http.next_event()
                 if event in (h11.NEED_DATA, h11.PAUSED):
                     return
-                self._on_event(event)
+                if isinstance(event, h11.InformationalResponse):
+                    self._on_interim_answer()
+                else:
+                    self._on_event(event)
         except h11.RemoteProtocolError as error:
             kind = GARBLED if data else self._closed_error_kind()
             self._fail(kind, str(error))
@@ -236,11 +266,7 @@
         if isinstance(event, h11.Response):
             self._response_head = event
         elif isinstance(event, h11.Data):
-            self._body_bytes += len(event.data)
-            if self._body_bytes > _RESPONSE_BYTES_MAX:
-                self._fail(GARBLED, 'answer body exceeds the size limit')
-                return
-            self._body_chunks.append(bytes(event.data))
+            self._on_body_data(bytes(event.data))
         elif isinstance(event, h11.EndOfMessage):
             self._on_response_complete()
         elif isinstance(event, h11.ConnectionClosed):
@@ -249,6 +275,21 @@
                 'connection closed before an answer',
             )
 
+    def _on_interim_answer(self) -> None:
+        self._interim_answers += 1
+        if self._interim_answers > self._limits.interim_answers:
+            self._fail(GARBLED, 'too many interim answers')
+
+    def _on_body_data(self, data: bytes) -> None:
+        self._body_bytes += len(data)
+        self._unfinished.total += len(data)
+        if self._body_bytes > self._limits.body_bytes:
+            self._fail(GARBLED, 'answer body exceeds the size limit')
+        elif self._unfinished.total > self._limits.unfinished_bytes:
+            self._fail(GARBLED, 'unfinished answers exceed the memory limit')
+        else:
+            self._body_chunks.append(data)
+
     def _on_response_complete(self) -> None:
         if self._response_head is None or self._response_future is None:
             return
@@ -319,11 +360,18 @@
         Timeout in seconds for opening a connection.
     idle_connections_max : int
         Maximum number of idle connections over all addresses.
+    limits : AnswerLimits or None
+        Bounds on what peers may send; None for the defaults.
     """
 
     def __init__(
-        self, connect_timeout_s: float, idle_connections_max: int
+        self,
+        connect_timeout_s: float,
+        idle_connections_max: int,
+        limits: AnswerLimits | None = None,
     ) -> None:
+        self._limits = limits or AnswerLimits()
+        self._unfinished = _UnfinishedBytes()
         self._connect_timeout_s = connect_timeout_s
         self._idle_connections_max = idle_connections_max
         self._idle_by_address: dict[str, deque[TargetConnection]] = {}
@@ -369,13 +417,20 @@
         try:
             async with asyncio.timeout(self._connect_timeout_s):
                 _, connection = await loop.create_connection(
-                    TargetConnection, host, int(port)
+                    self._new_connection, host, int(port)
                 )
         except (OSError, ValueError) as error:
             detail = str(error) or 'no connection in time'
             raise ExchangeError(NOT_SENT, detail) from error
         return connection
 
+    def unfinished_bytes(self) -> int:
+        """Return the bytes of answers that are not complete yet."""
+        return self._unfinished.total
+
+    def _new_connection(self) -> TargetConnection:
+        return TargetConnection(self._limits, self._unfinished)
+
     def give(self, address: str, connection: TargetConnection) -> None:
         """Return a connection to the pool after a complete exchange.
 
