Name the file in place of a traceback, and end with 2 on bad input

explain ended in a traceback where a file was missing, a folder or damaged; gateway ended with 1 on settings with findings, as for a failed task.

--- a/oleanderridge/commands/explain.py
+++ b/oleanderridge/commands/explain.py
@@ -14,7 +14,8 @@
   cat *.log | oleanderridge explain 9c41d07be2a35f68 --json
 
 exit status:
-  0 when the request was found, 1 when no line names it
+  0 when the request was found, 1 when no line names it, 2 when a file
+  cannot be read
 """
 
 
@@ -55,7 +56,11 @@
     """
     from oleanderridge.telemetry.explain import explain
 
-    found = explain(options.id, _lines(options.files))
+    try:
+        found = explain(options.id, _lines(options.files))
+    except OSError as error:
+        print(f'{error.filename}: {error.strerror}', file=sys.stderr)
+        return 2
     if not found:
         print(f'no line names {options.id}', file=sys.stderr)
         return 1
--- a/oleanderridge/commands/gateway.py
+++ b/oleanderridge/commands/gateway.py
@@ -15,8 +15,8 @@
   oleanderridge gateway --settings /run/oleanderridge/gateway.yaml
 
 exit status:
-  0 after a graceful shutdown, 1 when the settings have findings or a task
-  of the host failed
+  0 after a graceful shutdown, 1 when a task of the host failed, 2 when the
+  settings have findings
 """
 
 
@@ -62,7 +62,7 @@
     if isinstance(loaded, Err):
         for finding in loaded.err_value:
             print(format_finding(finding), file=sys.stderr)
-        return 1
+        return 2
     if options.check:
         print(f'{options.settings}: no findings')
         return 0
--- a/oleanderridge/telemetry/explain.py
+++ b/oleanderridge/telemetry/explain.py
@@ -59,7 +59,7 @@
     """
     fields = {}
     for name, value in _PAIR.findall(line):
-        fields[name] = json.loads(value) if value[0] == '"' else value
+        fields[name] = _unquoted(value)
     at = _seconds(fields.get('time', ''))
     if at is None or 'event' not in fields:
         return None
@@ -102,6 +102,16 @@
     return sorted((*found, *own), key=_time_of)
 
 
+def _unquoted(value: str) -> str:
+    if value[0] != '"':
+        return value
+    try:
+        return json.loads(value)
+    except ValueError:
+        # A damaged line is shown as it stands.
+        return value
+
+
 def _time_of(line: LogLine) -> float:
     return line.at
 
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -4,6 +4,8 @@
 import os
 from pathlib import Path
 
+import pytest
+
 from oleanderridge.cmdline import main
 from oleanderridge.telemetry.bounded_log import BoundedLog
 from oleanderridge.telemetry.explain import explain
@@ -83,3 +85,25 @@
             break
     assert log.dropped > 0
     assert content.decode().count('WARNING event-') == 6_000 / 4
+
+
+@pytest.mark.parametrize('name', ['missing.log', '.'])
+def test_a_file_that_cannot_be_read_is_named(name, tmp_path, capsys):
+    """Guards against a traceback in place of the file's name."""
+    path = tmp_path / name
+    assert main(['explain', 'a1', str(path)]) == 2
+    assert str(path) in capsys.readouterr().err
+
+
+def test_damaged_lines_are_passed_over(tmp_path, capsys):
+    """Guards against one damaged line that hides all others."""
+    path = tmp_path / 'host.log'
+    path.write_bytes(
+        b'time="2026-01-01 10:00:00,5" event=send-ended id=a1 detail="\\x"\n'
+        b'\x00\xff\xfe=\n'
+        b'time="2026-01-01 10:00:01,5" event=request-ended id=a1 status=502\n'
+    )
+    assert main(['explain', 'a1', str(path)]) == 0
+    printed = capsys.readouterr().out
+    assert 'status=502' in printed
+    assert 'send-ended' in printed
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -7,6 +7,7 @@
 import pytest
 import yaml
 
+from oleanderridge.cmdline import main
 from oleanderridge.compiled_schema import completed
 from oleanderridge.schema_check import fill_defaults, schema_faults
 from oleanderridge.settings import load_settings, parse_settings
@@ -152,3 +153,17 @@
         text=True,
     )
     assert ran.stdout.strip() == '[]'
+
+
+@pytest.mark.parametrize(
+    'content', [None, b'\xff\x00\xea', b'host: [1', b'host: 5\n', b'']
+)
+def test_a_gateway_names_what_is_wrong_with_its_settings(
+    content, tmp_path, capsys
+):
+    """Guards against a traceback, and against a start on bad settings."""
+    path = tmp_path / 'host.yaml'
+    if content is not None:
+        path.write_bytes(content)
+    assert main(['gateway', '--settings', str(path), '--check']) == 2
+    assert str(path) in capsys.readouterr().err
