Mark a removed host silent beyond rounding

A host that another's list no longer had was marked as last heard exactly silent_s ago, and rounding left it alive about half of the time until the next heartbeat, with another fetch of the list. The test failed before.

--- a/oleanderridge/membership/roster.py
+++ b/oleanderridge/membership/roster.py
@@ -29,6 +29,9 @@
 # Hosts whose start times differ by less than this restarted together, after
 # a common failure.
 _COMMON_START_WINDOW_MS: Final = 2500
+# A host that is marked silent was last heard this long before the limit, so
+# that rounding does not leave it alive.
+_SILENCE_MARGIN_S: Final = 0.001
 # Fleet size that a host assumes before it knows any other host, so that a
 # restarted host takes only a small share of each rate.
 _ASSUMED_FLEET_SIZE: Final = 24
@@ -428,7 +431,7 @@
             self._rank_order = None
 
     def _mark_silent(self, hosts: Iterable[str], now: float) -> None:
-        silent_at = now - self._peers['silent_s']
+        silent_at = now - self._peers['silent_s'] - _SILENCE_MARGIN_S
         self._rank_order = None
         for host in hosts:
             member = self._by_host[host]
--- a/tests/test_roster.py
+++ b/tests/test_roster.py
@@ -224,3 +224,16 @@
             roster.relay(now)
     assert len(roster.alive(13.8)) == 294
     assert sorts <= 10
+
+
+def test_a_removed_host_is_not_alive_at_the_same_moment():
+    """Guards against rounding that keeps a host until the next heartbeat."""
+    for step in range(200):
+        now = 3000 + step / 7
+        roster = _roster()
+        entry = _roster(9)
+        entry.host = '10.0.0.2'
+        roster.merge(entry.entries(now), now, whole=True)
+        assert len(roster.alive(now)) == 2
+        roster.mark_removed(['10.0.0.2'], now)
+        assert len(roster.alive(now)) == 1
