--- a/bench/platform.py
+++ b/bench/platform.py
@@ -27,11 +27,20 @@
     content: bytes
 
 
+class Copy(NamedTuple):
+    """What the stand-in can be restored from."""
+
+    revision: int
+    values: dict[str, Value]
+    history: list[tuple[int, str, bytes | None]]
+
+
 class PlatformState:
     """Values, mode and call counts of the stand-in."""
 
     def __init__(self) -> None:
         self.mode = 'up'
+        self.era = 1
         self.revision = 0
         self.values: dict[str, Value] = {}
         self.stale_values: dict[str, Value] = {}
@@ -69,6 +78,18 @@
         self.forgotten = self.revision
         self.notify()
 
+    def copy(self) -> Copy:
+        """Return what the stand-in holds now."""
+        return Copy(self.revision, dict(self.values), list(self.history))
+
+    def restore(self, copy: Copy) -> None:
+        """Come back from a copy: lose what was written since, in a new era."""
+        self.era += 1
+        self.revision = copy.revision
+        self.values = dict(copy.values)
+        self.history = list(copy.history)
+        self.notify()
+
     def records(self, prefix: str) -> list[tuple[str, int, bytes]]:
         """Return the values whose keys begin with a prefix."""
         return [
--- a/bench/record_store.py
+++ b/bench/record_store.py
@@ -22,6 +22,7 @@
     """What this format needs of the state of the stand-in."""
 
     mode: str
+    era: int
     revision: int
     history: list[tuple[int, str, bytes | None]]
     forgotten: int
@@ -40,7 +41,12 @@
     if state.mode == 'down':
         reset(request.transport)
         return web.Response(status=503)
-    return web.Response(status=503) if state.mode == 'busy' else None
+    busy = state.mode == 'busy'
+    return web.Response(status=503, headers=_era(state)) if busy else None
+
+
+def _era(state: RecordState) -> dict[str, str]:
+    return {'Store-Era': str(state.era)}
 
 
 def _item(key: str, revision: int, content: bytes | None) -> dict[str, Any]:
@@ -85,7 +91,8 @@
                 'items': found[:_PAGE_ITEMS],
                 'more_pages': len(found) > _PAGE_ITEMS,
                 'at': state.revision,
-            }
+            },
+            headers=_era(state),
         )
 
     async def watch_range(request: web.Request) -> web.Response:
@@ -93,22 +100,26 @@
         refused = await _refusal(request, state)
         if refused is not None:
             return refused
-        after = int(request.query.get('after', '0'))
+        after, era = int(request.query.get('after', '0')), state.era
         prefix = request.query.get('prefix', '')
         wait_s = int(request.query.get('wait_ms', '1000')) / 1000
         try:
             async with asyncio.timeout(wait_s):
-                while not _since(state, prefix, after):
+                while era == state.era and not _since(state, prefix, after):
+                    if after > state.revision:
+                        break
                     await state.changed.wait()
         except TimeoutError:
             pass
         refused = await _refusal(request, state)
         if refused is not None:
             return refused
-        if after < state.forgotten:
-            return web.Response(status=410)
+        if after < state.forgotten or after > state.revision:
+            return web.Response(status=410, headers=_era(state))
         events = _since(state, prefix, after)
-        return web.json_response({'events': events, 'at': state.revision})
+        return web.json_response(
+            {'events': events, 'at': state.revision}, headers=_era(state)
+        )
 
     return [
         web.get('/v1/kv-range', read_range),
--- a/oleanderridge/config/follower.py
+++ b/oleanderridge/config/follower.py
@@ -4,13 +4,14 @@
 
 import asyncio
 import logging
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from typing import Final, NamedTuple
 
 from result import Err
 
 from oleanderridge.findings import format_finding
 from oleanderridge.gateway.model import DRAINING, TargetRecord
+from oleanderridge.gateway.store_position import NO_POSITION, StorePosition
 from oleanderridge.gateway.target_table import TargetTable
 from oleanderridge.generated.gateway import GatewaySettings
 from oleanderridge.platform.records import (
@@ -82,7 +83,8 @@
         self._lost_at: float = 0
         self._back_at: float = 0
         self._needs_list = True
-        self._watched_to = 0
+        self._listed_again = 0
+        self._watched_to = NO_POSITION
         self.reachable = True
 
     async def run(self) -> None:
@@ -97,27 +99,33 @@
                 self._on_success()
                 continue
             if fault.reason == FORGOTTEN:
-                log_event(_LOGGER, 'store-history-gone', logging.WARNING)
                 self._needs_list = True
+                self._log_history_gone(fault)
+                await asyncio.sleep(_backoff_s(self._listed_again))
+                self._listed_again += 1
                 continue
             self._on_fault(fault)
-            place = min(self._failures, len(_BACKOFF_S)) - 1
-            await asyncio.sleep(_BACKOFF_S[place])
+            await asyncio.sleep(_backoff_s(self._failures))
 
     async def _step(self) -> StoreFault | None:
         if self._needs_list:
             return await self._list()
-        known = max(self._watched_to, self._table.revision)
+        known = max(self._watched_to, self._table.position)
         watched = await self._client.watch(
-            _EVERYTHING, known, self._store['wait_s']
+            _EVERYTHING, known.revision, self._store['wait_s']
         )
         if isinstance(watched, Err):
             return watched.err_value
-        self._on_word()
         page = watched.ok_value
-        self._take_in(page.items)
-        self._watched_to = page.revision
-        self._table.advance(page.revision)
+        era = page.position.era
+        if era != known.era:
+            # Its changes since that revision belong to another history.
+            return StoreFault(FORGOTTEN, f'restored, now in era {era}')
+        self._on_word()
+        self._listed_again = 0
+        self._take_in(page)
+        self._watched_to = page.position
+        self._table.advance(page.position)
         if page.items:
             self._ports.on_targets()
             await asyncio.sleep(_BATCH_S)
@@ -130,7 +138,10 @@
         self._on_word()
         page = listed.ok_value
         self._needs_list = False
-        self._watched_to = page.revision
+        former = self._watched_to
+        if former != NO_POSITION and page.position.era > former.era:
+            self._on_restored(page.position)
+        self._watched_to = page.position
         self._take_in_list(page)
         self._ports.on_targets()
         return None
@@ -139,31 +150,32 @@
         records = []
         for item in page.items:
             if item.key.startswith(TARGET_PREFIX):
-                record = _record(item)
+                record = _record(item, page.position.era)
                 if record is not None:
                     records.append(record)
             elif item.key == CONFIGURATION_KEY and item.value is not None:
                 self._ports.on_configuration(item.value)
-        missing = self._table.replace(records, page.revision)
+        missing = self._table.replace(records, page.position)
         for target in missing:
-            self._remove(target, page.revision)
+            self._remove(target, page.position)
 
-    def _take_in(self, items: Iterable[StoreItem]) -> None:
-        for item in items:
+    def _take_in(self, page: StorePage) -> None:
+        for item in page.items:
             if item.key == CONFIGURATION_KEY:
                 if item.value is not None:
                     self._ports.on_configuration(item.value)
             elif item.key.startswith(TARGET_PREFIX):
-                self._take_in_target(item)
+                self._take_in_target(item, page.position.era)
 
-    def _take_in_target(self, item: StoreItem) -> None:
+    def _take_in_target(self, item: StoreItem, era: int) -> None:
         target = item.key.removeprefix(TARGET_PREFIX)
+        position = StorePosition(era, item.revision)
         if item.value is None:
-            self._remove(target, item.revision)
+            self._remove(target, position)
             return
-        record = _record(item)
+        record = _record(item, era)
         if record is None:
-            self._table.remove(target, item.revision)
+            self._table.remove(target, position)
             return
         if self._table.put(record):
             log_event(
@@ -173,33 +185,60 @@
                 target=target,
                 service=record.service,
                 state=record.state,
-                revision=record.revision,
+                era=era,
+                revision=item.revision,
             )
 
-    def _remove(self, target: str, revision: int) -> None:
+    def _remove(self, target: str, position: StorePosition) -> None:
         known = self._table.by_id.get(target)
-        if known is None:
-            return
         until = self._back_at + self._store['return_grace_s']
-        if known.state != DRAINING and _now() < until:
+        if known and known.state != DRAINING and _now() < until:
             log_event(
                 _LOGGER,
                 'target-removal-postponed',
                 logging.INFO,
                 target=target,
-                revision=revision,
+                era=position.era,
+                revision=position.revision,
             )
-            self._table.postpone_removal(target, revision, until)
+            self._table.postpone_removal(target, position, until)
             return
-        if self._table.remove(target, revision):
+        if self._table.remove(target, position):
             log_event(
                 _LOGGER,
                 'target-gone',
                 logging.INFO,
                 target=target,
-                revision=revision,
+                era=position.era,
+                revision=position.revision,
             )
 
+    def _on_restored(self, position: StorePosition) -> None:
+        # What targets registered after the copy was made is missing in it
+        # until they write it again.
+        self._back_at = _now()
+        log_event(
+            _LOGGER,
+            'store-restored',
+            logging.WARNING,
+            era=position.era,
+            revision=position.revision,
+            former_era=self._watched_to.era,
+            former_revision=self._watched_to.revision,
+        )
+
+    def _log_history_gone(self, fault: StoreFault) -> None:
+        known = max(self._watched_to, self._table.position)
+        log_event(
+            _LOGGER,
+            'store-history-gone',
+            logging.WARNING,
+            detail=fault.detail,
+            era=known.era,
+            revision=known.revision,
+            listed_again=self._listed_again,
+        )
+
     def _on_word(self) -> None:
         self._ports.on_store_contact()
         if self._lost_at:
@@ -230,14 +269,21 @@
             )
 
 
-def _record(item: StoreItem) -> TargetRecord | None:
-    decoded = decode_target(item.key, item.value or b'', item.revision)
+def _backoff_s(failures: int) -> float:
+    """Return the wait before the next call; none without a failure."""
+    return _BACKOFF_S[min(failures, len(_BACKOFF_S)) - 1] if failures else 0
+
+
+def _record(item: StoreItem, era: int) -> TargetRecord | None:
+    position = StorePosition(era, item.revision)
+    decoded = decode_target(item.key, item.value or b'', position)
     if isinstance(decoded, Err):
         log_event(
             _LOGGER,
             'target-entry-malformed',
             logging.WARNING,
             finding=format_finding(decoded.err_value),
+            era=era,
             revision=item.revision,
         )
         return None
--- a/oleanderridge/dispatch/target_state.py
+++ b/oleanderridge/dispatch/target_state.py
@@ -9,6 +9,7 @@
 from oleanderridge.dispatch.rate_limit import TargetRateLimit
 from oleanderridge.gateway.model import TargetRecord
 from oleanderridge.gateway.outcomes import Outcome
+from oleanderridge.gateway.store_position import Statement, is_later
 from oleanderridge.generated.fleet import Acquire
 from oleanderridge.health.belief import FailureEstimate, LatencyHistogram
 
@@ -92,7 +93,7 @@
         self.last_answer: float = 0
         self.answered_last = False
         self.rate_limit: TargetRateLimit | None = None
-        self._misdirected_at = -1
+        self._misdirected_as: Statement | None = None
         # The newest answer, and the newest answer to a different host.
         self._last_answer_from = _Answer('', 0)
         self._last_answer_to_other = _Answer('', 0)
@@ -154,9 +155,12 @@
     def is_misdirected(self) -> bool:
         """Return whether another target answers at this target's address.
 
-        The state lasts until the target registers a newer revision.
+        The state lasts until the target registers again.
         """
-        return self._misdirected_at >= self.record.revision
+        known = self._misdirected_as
+        return known is not None and not is_later(
+            self.record.statement(), known
+        )
 
     def is_avoided_by(self, host: str, now: float) -> bool:
         """Return whether the path from a host is in backoff."""
@@ -343,7 +347,7 @@
         self, attempt: Attempt, outcome: Outcome, now: float
     ) -> None:
         if outcome is Outcome.OTHER_TARGET:
-            self._misdirected_at = self.record.revision
+            self._misdirected_as = self.record.statement()
         elif outcome is Outcome.NOT_SENT:
             self._back_off(attempt.host, now)
             if not self._answered_others_recently(attempt.host, now):
--- a/oleanderridge/gateway/beliefs.py
+++ b/oleanderridge/gateway/beliefs.py
@@ -34,6 +34,8 @@
     outage_s : float
         The store counts as away after so many seconds without a confirmation,
         a call to it or a report of a host that called it.
+    lapse_s : float
+        Seconds after which the store drops the entry of a silent target.
     """
 
     def __init__(
@@ -41,8 +43,9 @@
         on_configuration: Callable[[Configuration], None],
         on_targets: Callable[[], None],
         outage_s: float = _OUTAGE_S,
+        lapse_s: float = 0,
     ) -> None:
-        self.table = TargetTable()
+        self.table = TargetTable(lapse_s)
         self.configuration: Configuration | None = None
         self.on_targets = on_targets
         self._on_configuration = on_configuration
--- a/oleanderridge/gateway/fleet_sync.py
+++ b/oleanderridge/gateway/fleet_sync.py
@@ -12,15 +12,22 @@
 from result import Err
 
 from oleanderridge.gateway.beliefs import Beliefs
-from oleanderridge.gateway.model import TargetRecord
+from oleanderridge.gateway.model import DRAINING
 from oleanderridge.gateway.packing import pack, unpack
 from oleanderridge.gateway.peers import Datagrams, fetch_sync
+from oleanderridge.gateway.store_position import NO_POSITION, StorePosition
+from oleanderridge.gateway.target_table import TargetChanges
+from oleanderridge.gateway.target_wire import (
+    record_from_entry,
+    record_to_entry,
+    removal_from_entry,
+    removal_to_entry,
+)
 from oleanderridge.generated.fleet import (
     Beat,
     RetryUse,
     SyncReply,
     SyncRequest,
-    TargetEntry,
 )
 from oleanderridge.generated.gateway import GatewaySettings
 from oleanderridge.membership.roster import Roster
@@ -102,6 +109,7 @@
         rng: Random,
     ) -> None:
         self._peers = settings['peers']
+        self._return_grace_s = settings['store']['return_grace_s']
         self._roster = roster
         self._beliefs = beliefs
         self._datagrams = datagrams
@@ -211,23 +219,26 @@
         """Return the state that another host is missing."""
         now = _now()
         table = self._beliefs.table
-        whole = request.targets_revision >= table.revision or (
-            request.targets_revision == 0
-        )
-        if request.targets_digest == table.digest:
-            records, removed, whole = [], [], False
-        elif whole:
-            records, removed = list(table.by_id.values()), []
+        known = StorePosition(request.store_era, request.targets_revision)
+        same_era = known.era == table.position.era
+        whole = not same_era or known >= table.position or not known.revision
+        if same_era and request.targets_digest == table.digest:
+            changes, whole = TargetChanges([], {}), False
         else:
-            records, removed = table.since(request.targets_revision)
+            changes = table.since(NO_POSITION if whole else known)
         reply = SyncReply(
             b'',
-            table.revision,
+            table.position.revision,
             whole,
-            [_to_entry(record) for record in records],
-            removed,
+            [record_to_entry(record) for record in changes.records],
+            [] if whole else list(changes.removed),
             [],
             self._beliefs.age_ms(now),
+            store_era=table.position.era,
+            removals=[
+                removal_to_entry(target, tombstone)
+                for target, tombstone in changes.removed.items()
+            ],
         )
         self._add_config(reply, request)
         if request.members_digest != self._roster.digest(now):
@@ -300,7 +311,7 @@
             roster.incarnation,
             roster.state,
             self._beliefs.version(),
-            self._beliefs.table.revision,
+            self._beliefs.table.position.revision,
             self._beliefs.table.digest,
             roster.digest(now),
             self._beliefs.age_ms(now),
@@ -312,6 +323,7 @@
             roster.strength,
             leader.strength,
             retry_uses=advice.retry_uses,
+            store_era=self._beliefs.table.position.era,
         )
 
     def _current_advice(self, now: float) -> _Advice:
@@ -350,9 +362,8 @@
             self._members_fetched_at = now
             self._start_fetch(beat.host)
         table = self._beliefs.table
-        same_targets = beat.targets_digest == table.digest
-        if same_targets:
-            table.advance(beat.targets_revision)
+        if not self._has_other_targets(beat):
+            table.advance(_position_of(beat))
             if beat.config_version == self._beliefs.version():
                 self._beliefs.confirm(now - beat.store_age_ms / 1000)
         if self._is_behind(beat):
@@ -373,15 +384,19 @@
             self.on_retry_uses(beat.retry_uses)
 
     def _is_behind(self, beat: Beat) -> bool:
-        table = self._beliefs.table
         if beat.config_version > self._beliefs.version():
             return True
         return (
-            beat.targets_digest != table.digest
-            and beat.targets_revision >= table.revision
+            self._has_other_targets(beat)
+            and _position_of(beat) >= self._beliefs.table.position
             and beat.targets_revision > 0
         )
 
+    def _has_other_targets(self, beat: Beat) -> bool:
+        table = self._beliefs.table
+        known = (table.position.era, table.digest)
+        return (beat.store_era, beat.targets_digest) != known
+
     def _start_fetch_if_behind(self, beat: Beat) -> None:
         if self._is_behind(beat):
             self._start_fetch(beat.host)
@@ -407,11 +422,12 @@
         table = self._beliefs.table
         request = SyncRequest(
             self._beliefs.version(),
-            table.revision if table.by_id else 0,
+            table.position.revision if table.by_id else 0,
             table.digest,
             self._roster.digest(_now()),
             *self._members_known_from(host),
             accepts_packed=True,
+            store_era=table.position.era,
         )
         fetched = await fetch_sync(host, self._peers['port'], request)
         if isinstance(fetched, Err):
@@ -426,7 +442,7 @@
         reply = fetched.ok_value
         now = _now()
         self._apply_members(host, reply, now)
-        self._apply_targets(reply)
+        self._apply_targets(reply, now)
         self._apply_config(host, reply)
         if not reply.config_withheld:
             self._beliefs.confirm(now - reply.store_age_ms / 1000)
@@ -509,50 +525,34 @@
             # Changes alone don't lead to the leader's list: ask for all of it.
             self._known_members = _KnownMembers('', 0, 0)
 
-    def _apply_targets(self, reply: SyncReply) -> None:
+    def _apply_targets(self, reply: SyncReply, now: float) -> None:
         table = self._beliefs.table
-        records = [_to_record(entry) for entry in reply.targets]
+        records = [record_from_entry(entry) for entry in reply.targets]
+        position = StorePosition(reply.store_era, reply.targets_revision)
         before = table.digest
         if reply.whole:
-            missing = table.replace(records, reply.targets_revision)
-            for target in missing:
-                table.remove(target, reply.targets_revision)
+            former = table.position
+            restored = former != NO_POSITION and position.era > former.era
+            for target in table.replace(records, position):
+                if restored and table.by_id[target].state != DRAINING:
+                    until = now + self._return_grace_s
+                    table.postpone_removal(target, position, until)
+                else:
+                    table.remove(target, position)
         else:
             for record in records:
                 table.put(record)
             for target in reply.removed:
-                table.remove(target, reply.targets_revision)
-            table.advance(reply.targets_revision)
+                table.remove(target, position)
+            table.advance(position)
+        for entry in reply.removals:
+            table.merge_removal(*removal_from_entry(entry))
         if table.digest != before:
             self._beliefs.on_targets()
 
 
-def _to_entry(record: TargetRecord) -> TargetEntry:
-    return TargetEntry(
-        record.target,
-        record.service,
-        record.address,
-        record.zone,
-        record.slots,
-        record.state,
-        int(record.cold_s * 1000),
-        record.born_ms,
-        record.revision,
-    )
-
-
-def _to_record(entry: TargetEntry) -> TargetRecord:
-    return TargetRecord(
-        entry.target,
-        entry.service,
-        entry.address,
-        entry.zone,
-        entry.slots,
-        entry.state,
-        entry.cold_ms / 1000,
-        entry.born_ms,
-        entry.revision,
-    )
+def _position_of(beat: Beat) -> StorePosition:
+    return StorePosition(beat.store_era, beat.targets_revision)
 
 
 def _now() -> float:
--- a/oleanderridge/gateway/model.py
+++ b/oleanderridge/gateway/model.py
@@ -5,6 +5,8 @@
 from collections.abc import Mapping
 from typing import Final, NamedTuple
 
+from oleanderridge.gateway.store_position import Statement, StorePosition
+
 SAFE: Final = 'safe'
 UNSAFE: Final = 'unsafe'
 
@@ -67,8 +69,9 @@
 class TargetRecord(NamedTuple):
     """Registration of a target in the store.
 
-    ``revision`` is the store revision of the entry, ``born_ms`` the Unix time
-    of the target's start in milliseconds, or 0 if unknown.
+    ``position`` is where the store has the entry, ``born_ms`` the Unix time of
+    the target's start in milliseconds, or 0 if unknown, and ``sequence`` its
+    count of writes since then.
     """
 
     target: str
@@ -79,7 +82,12 @@
     state: str
     cold_s: float
     born_ms: int
-    revision: int
+    position: StorePosition
+    sequence: int = 0
+
+    def statement(self) -> Statement:
+        """Return what orders the registrations of the target."""
+        return Statement(self.position, self.born_ms, self.sequence)
 
 
 class TargetNotice(NamedTuple):
--- a/oleanderridge/gateway/process.py
+++ b/oleanderridge/gateway/process.py
@@ -26,7 +26,11 @@
 from oleanderridge.gateway.public_pages import PublicPages
 from oleanderridge.gateway.reload import SettingsReload
 from oleanderridge.generated.fleet import Acquire, Beat, Refused, Release
-from oleanderridge.generated.gateway import BoundSettings, GatewaySettings
+from oleanderridge.generated.gateway import (
+    BoundSettings,
+    GatewaySettings,
+    StoreSettings,
+)
 from oleanderridge.http1.client import AnswerLimits, ConnectionPool
 from oleanderridge.http1.server import Edge, EdgeLimits
 from oleanderridge.membership.roster import LEAVING, READY, Roster
@@ -60,6 +64,8 @@
 _CONNECT_TIMEOUT_S: Final = 0.12
 _BUFFER_FRACTION: Final = 0.25
 _MEGABYTE: Final = 1_000_000
+# Renewals that a target has missed when the store drops its entry.
+_MISSED_RENEWALS: Final = 3
 
 
 class GatewayProcess:
@@ -78,7 +84,11 @@
         self._rng = Random()
         self._metrics = GatewayMetrics()
         self._roster = Roster(settings, time.time_ns() // 1_000_000)
-        self._beliefs = Beliefs(self._on_configuration, self._on_targets)
+        self._beliefs = Beliefs(
+            self._on_configuration,
+            self._on_targets,
+            lapse_s=_entry_lapse_s(settings['store']),
+        )
         self._placement = Placement(settings, self._rng)
         self._datagrams = Datagrams(self._on_message)
         self._sync = FleetSync(
@@ -435,5 +445,10 @@
     )
 
 
+def _entry_lapse_s(store: StoreSettings) -> float:
+    """Return how long a returned store may hold the entry of a dead target."""
+    return _MISSED_RENEWALS * store['renewal_s'] + store['return_grace_s']
+
+
 def _now() -> float:
     return asyncio.get_running_loop().time()
--- a/oleanderridge/gateway/target_table.py
+++ b/oleanderridge/gateway/target_table.py
@@ -7,35 +7,67 @@
 from zlib import crc32
 
 from oleanderridge.gateway.model import DRAINING, TargetRecord
+from oleanderridge.gateway.store_position import (
+    NO_POSITION,
+    Statement,
+    StorePosition,
+    replaces,
+)
 
 # Maximum number of tombstones, which prevent outdated updates from restoring
 # a removed target.
 _MAX_TOMBSTONES: Final = 4096
+# The newest tombstones are passed on to a host that gets all records.
+_MAX_TOMBSTONES_SHARED: Final = 256
 
 
-class _Tombstone(NamedTuple):
-    """Store revision of a removal, and the start of the removed target."""
+class Tombstone(NamedTuple):
+    """Position of a removal, and the last statement of the removed target."""
 
-    revision: int
-    born_ms: int
+    position: StorePosition
+    last: Statement
 
 
 class _PostponedRemoval(NamedTuple):
-    """Store revision of a removal, and when it takes effect."""
+    """Position of a removal, and when it takes effect."""
 
-    revision: int
+    position: StorePosition
     until: float
 
 
+class TargetChanges(NamedTuple):
+    """Records, and removals by target."""
+
+    records: list[TargetRecord]
+    removed: dict[str, Tombstone]
+
+
 class TargetTable:
-    """Target records by id; the highest revision of each wins."""
+    """Target records by id; the newest statement of each wins.
+
+    After a return of the store from an older copy, what is known of a target
+    stays until the store has it newer or no longer: a removed target or one
+    that drains is not brought back by the copy. A removal is kept so for
+    ``lapse_s``; an entry that the store still holds then belongs to a target
+    that renews it.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    lapse_s : float
+        Seconds after which the store drops the entry of a silent target.
+    """
+
+    def __init__(self, lapse_s: float = 0) -> None:
         self.by_id: dict[str, TargetRecord] = {}
-        self.revision = 0
+        self.position = NO_POSITION
         self.digest = 0
-        self._tombstones: dict[str, _Tombstone] = {}
+        self._lapse_s = lapse_s
+        self._tombstones: dict[str, Tombstone] = {}
         self._postponed: dict[str, _PostponedRemoval] = {}
+        # Entries of a copy whose targets are known to be removed.
+        self._withheld: dict[str, TargetRecord] = {}
+        self._keeps_former_removals = False
+        self._former_removals_until: float | None = None
 
     def put(self, record: TargetRecord) -> bool:
         """Insert or update a record.
@@ -48,48 +80,79 @@
         Returns
         -------
         bool
-            False if a newer revision is known.
+            False if something newer is known.
         """
-        removal = self._postponed.get(record.target)
-        if removal is not None and record.revision > removal.revision:
-            del self._postponed[record.target]
-        known = self.by_id.get(record.target)
-        tombstone = self._tombstones.get(record.target)
-        newest = 0 if tombstone is None else tombstone.revision
-        if known is not None:
-            newest = max(newest, known.revision)
-        if record.revision <= newest:
+        return self._put(record, record.position.era)
+
+    def _put(self, record: TargetRecord, source_era: int) -> bool:
+        target = record.target
+        removal = self._postponed.get(target)
+        if removal is not None and record.position > removal.position:
+            del self._postponed[target]
+        known = self.by_id.get(target)
+        if known is None:
+            if not self._may_insert(record, source_era):
+                return False
+        elif not replaces(record.statement(), known.statement()):
             return False
-        self.by_id[record.target] = record
-        self._tombstones.pop(record.target, None)
+        self.by_id[target] = record
+        self._tombstones.pop(target, None)
+        self._withheld.pop(target, None)
         self._update_digest()
         return True
 
-    def remove(self, target: str, revision: int) -> bool:
+    def remove(self, target: str, position: StorePosition) -> bool:
         """Remove a target and leave a tombstone.
 
         Parameters
         ----------
         target : str
             Its id.
-        revision : int
-            Revision of the removal.
+        position : StorePosition
+            Position of the removal.
 
         Returns
         -------
         bool
-            False if it is unknown or a newer revision is known.
+            False if it is unknown or a newer position is known.
         """
         known = self.by_id.get(target)
-        if known is None or known.revision > revision:
+        if known is None:
+            self._confirm_removal(target, position)
             return False
-        del self.by_id[target]
-        self._postponed.pop(target, None)
-        self._tombstones[target] = _Tombstone(revision, known.born_ms)
-        while len(self._tombstones) > _MAX_TOMBSTONES:
-            oldest = next(iter(self._tombstones))
-            del self._tombstones[oldest]
-        self._update_digest()
+        if known.position > position:
+            return False
+        self._bury(target, Tombstone(position, known.statement()))
+        return True
+
+    def merge_removal(self, target: str, tombstone: Tombstone) -> bool:
+        """Apply a removal that a peer knows of.
+
+        Parameters
+        ----------
+        target : str
+            Id of the target.
+        tombstone : Tombstone
+            As the peer has it.
+
+        Returns
+        -------
+        bool
+            Whether the target was in the table.
+        """
+        known = self.by_id.get(target)
+        if known is None:
+            own = self._tombstones.get(target)
+            if own is None or own.position < tombstone.position:
+                self._add_tombstone(target, tombstone)
+            return False
+        if known.position <= tombstone.position:
+            self._bury(target, tombstone)
+            return True
+        if not self._is_of_the_copy(known, tombstone):
+            return False
+        self._bury(target, tombstone)
+        self._withheld[target] = known
         return True
 
     def is_leaving(self, target: str, born_ms: int) -> bool:
@@ -110,7 +173,7 @@
         """
         removed = self._tombstones.get(target)
         if removed is not None:
-            return removed.born_ms == born_ms
+            return removed.last.born_ms == born_ms
         known = self.by_id.get(target)
         return known is not None and (known.state, known.born_ms) == (
             DRAINING,
@@ -118,7 +181,7 @@
         )
 
     def postpone_removal(
-        self, target: str, revision: int, until: float
+        self, target: str, position: StorePosition, until: float
     ) -> None:
         """Delay the removal of a target that may have expired in an outage.
 
@@ -128,17 +191,17 @@
         ----------
         target : str
             Its id.
-        revision : int
-            Revision of the removal. A later registration cancels it.
+        position : StorePosition
+            Position of the removal. A later registration cancels it.
         until : float
             Monotonic seconds at which it is removed.
         """
         if target in self.by_id:
-            removal = _PostponedRemoval(revision, until)
+            removal = _PostponedRemoval(position, until)
             self._postponed.setdefault(target, removal)
 
     def lapse(self, now: float) -> list[str]:
-        """Remove the targets whose postponed removal is due.
+        """Carry out what is due: removals, and the end of former ones.
 
         Parameters
         ----------
@@ -148,7 +211,7 @@
         Returns
         -------
         list of str
-            Ids of the removed targets.
+            Ids of the targets that were removed or are back.
         """
         due = [
             target
@@ -156,70 +219,145 @@
             if removal.until <= now
         ]
         for target in due:
-            known = self.by_id[target].revision
-            self.remove(target, max(self.revision, known))
-        return due
-
-    def advance(self, revision: int) -> None:
-        """Record that all changes up to a revision have been applied."""
-        self.revision = max(self.revision, revision)
-
-    def since(self, revision: int) -> tuple[list[TargetRecord], list[str]]:
-        """Return the changes after a revision.
+            known = self.by_id[target].position
+            self.remove(target, max(self.position, known))
+        return due + self._end_former_removals(now)
+
+    def advance(self, position: StorePosition) -> None:
+        """Record that all changes up to a position have been applied."""
+        is_restored = position.era > self.position.era
+        self.position = max(self.position, position)
+        if is_restored:
+            self._keeps_former_removals = True
+            self._former_removals_until = None
+            self._update_digest()
+
+    def since(self, position: StorePosition) -> TargetChanges:
+        """Return the changes after a position.
 
         Parameters
         ----------
-        revision : int
-            Revision that the requester has; 0 for all records.
+        position : StorePosition
+            Position that the requester has; ``NO_POSITION`` for everything.
 
         Returns
         -------
-        tuple of list, list
-            Changed records, and ids of removed targets.
+        TargetChanges
+            The newest removals only. Withheld records are included, since a
+            target that a list lacks counts as removed.
         """
         records = [
             record
-            for record in self.by_id.values()
-            if record.revision > revision
+            for record in (*self.by_id.values(), *self._withheld.values())
+            if record.position > position
         ]
-        removed = [
-            target
+        removed = {
+            target: tombstone
             for target, tombstone in self._tombstones.items()
-            if tombstone.revision > revision
-        ]
-        return records, removed
+            if tombstone.position > position
+        }
+        newest = list(removed)[-_MAX_TOMBSTONES_SHARED:]
+        return TargetChanges(
+            records, {target: removed[target] for target in newest}
+        )
 
     def replace(
-        self, records: Iterable[TargetRecord], revision: int
+        self, records: Iterable[TargetRecord], position: StorePosition
     ) -> list[str]:
         """Apply a full list of targets and return the ids that it lacks.
 
         Parameters
         ----------
         records : iterable of TargetRecord
-            All targets at the revision.
-        revision : int
-            Revision of the list.
+            All targets at the position.
+        position : StorePosition
+            Position of the list.
 
         Returns
         -------
         list of str
             Known targets that are not in the list and not newer.
         """
+        # Records of a copy must be known as such when they are put.
+        self.advance(position)
         listed = set()
         for record in records:
             listed.add(record.target)
-            self.put(record)
-        self.advance(revision)
+            self._put(record, position.era)
+        for unlisted in self._withheld.keys() - listed:
+            self._confirm_removal(unlisted, position)
         return [
             target
             for target, known in self.by_id.items()
-            if target not in listed and known.revision <= revision
+            if target not in listed and known.position <= position
         ]
 
+    def _may_insert(self, record: TargetRecord, source_era: int) -> bool:
+        tombstone = self._tombstones.get(record.target)
+        if tombstone is None:
+            # A list of a former era may hold what the store has no longer.
+            return source_era >= self.position.era
+        if record.position <= tombstone.position:
+            return False
+        if not self._is_of_the_copy(record, tombstone):
+            return True
+        self._withheld[record.target] = record
+        return False
+
+    def _is_of_the_copy(
+        self, record: TargetRecord, tombstone: Tombstone
+    ) -> bool:
+        """Return whether a record is older than a removal in a former era."""
+        return (
+            self._keeps_former_removals
+            and record.position.era > tombstone.position.era
+            and (record.born_ms, record.sequence)
+            <= (tombstone.last.born_ms, tombstone.last.sequence)
+        )
+
+    def _confirm_removal(self, target: str, position: StorePosition) -> None:
+        withheld = self._withheld.get(target)
+        if withheld is not None and withheld.position <= position:
+            del self._withheld[target]
+        tombstone = self._tombstones.get(target)
+        if tombstone is not None and tombstone.position < position:
+            self._tombstones[target] = tombstone._replace(position=position)
+
+    def _bury(self, target: str, tombstone: Tombstone) -> None:
+        del self.by_id[target]
+        self._postponed.pop(target, None)
+        self._add_tombstone(target, tombstone)
+        self._update_digest()
+
+    def _add_tombstone(self, target: str, tombstone: Tombstone) -> None:
+        self._tombstones[target] = tombstone
+        while len(self._tombstones) > _MAX_TOMBSTONES:
+            oldest = next(iter(self._tombstones))
+            del self._tombstones[oldest]
+
+    def _end_former_removals(self, now: float) -> list[str]:
+        if not self._keeps_former_removals:
+            return []
+        if self._former_removals_until is None:
+            self._former_removals_until = now + self._lapse_s
+        if now < self._former_removals_until:
+            return []
+        self._keeps_former_removals = False
+        withheld = list(self._withheld.values())
+        return [record.target for record in withheld if self.put(record)]
+
     def _update_digest(self) -> None:
+        # Records of the current era have no era in the text, so that hosts of
+        # before, which know no eras, compute the same.
+        era = self.position.era
         text = ','.join(
-            f'{target}:{self.by_id[target].revision}'
+            f'{target}:{_position_text(self.by_id[target].position, era)}'
             for target in sorted(self.by_id)
         )
         self.digest = crc32(text.encode())
+
+
+def _position_text(position: StorePosition, current_era: int) -> str:
+    if position.era == current_era:
+        return str(position.revision)
+    return f'{position.revision}.{position.era}'
--- a/oleanderridge/platform/records.py
+++ b/oleanderridge/platform/records.py
@@ -22,6 +22,7 @@
     TargetRecord,
     Workspace,
 )
+from oleanderridge.gateway.store_position import StorePosition
 
 CONFIGURATION_KEY: Final = 'op/config'
 TARGET_PREFIX: Final = 'servers/'
@@ -41,7 +42,7 @@
 
 
 def decode_target(
-    key: str, value: bytes, revision: int
+    key: str, value: bytes, position: StorePosition
 ) -> Result[TargetRecord, Finding]:
     """Decode the registration of a target.
 
@@ -51,8 +52,8 @@
         Store key.
     value : bytes
         JSON document.
-    revision : int
-        Store revision of its last change.
+    position : StorePosition
+        Where the store has its last change.
 
     Returns
     -------
@@ -63,7 +64,7 @@
     try:
         return Ok(
             _decode_target_fields(
-                target, _as_object(decode(value), '$'), revision
+                target, _as_object(decode(value), '$'), position
             )
         )
     except _FieldError as field_error:
@@ -73,7 +74,7 @@
 
 
 def _decode_target_fields(
-    target: str, fields: Fields, revision: int
+    target: str, fields: Fields, position: StorePosition
 ) -> TargetRecord:
     state = _string_field(fields, 'state', '$')
     if state not in _STATE_BY_NAME:
@@ -86,7 +87,7 @@
     if slots < 1 or slots != int(slots):
         raise _FieldError('$.slots', f'{slots} is not a valid number of slots')
     born = _number_field(fields, 'born', '$', 0)
-    _number_field(fields, 'sequence', '$')
+    sequence = _number_field(fields, 'sequence', '$')
     _string_field(fields, 'version', '$')
     return TargetRecord(
         target,
@@ -97,7 +98,8 @@
         _STATE_BY_NAME[state],
         _number_field(fields, 'warmup_left_s', '$'),
         int(born),
-        revision,
+        position,
+        int(sequence),
     )
 
 
--- a/oleanderridge/platform/store.py
+++ b/oleanderridge/platform/store.py
@@ -11,16 +11,20 @@
 from msgspec.json import decode
 from result import Err, Ok, Result
 
+from oleanderridge.gateway.store_position import NO_POSITION, StorePosition
 from oleanderridge.http1.client import (
+    Answer,
     ConnectionPool,
     ExchangeError,
     Outbound,
 )
-from oleanderridge.http1.messages import Headers
+from oleanderridge.http1.messages import Headers, header
 
 _HTTP_OK: Final = 200
 _HTTP_GONE: Final = 410
 _MAX_PAGES: Final = 1000
+_ERA: Final = b'store-era'
+_ERA_DIGITS_MAX: Final = 18
 
 FORGOTTEN: Final = 'forgotten'
 UNREACHABLE: Final = 'unreachable'
@@ -37,10 +41,10 @@
 
 
 class StorePage(NamedTuple):
-    """Items or changes, and the revision up to which they are complete."""
+    """Items or changes, and the position up to which they are complete."""
 
     items: tuple[StoreItem, ...]
-    revision: int
+    position: StorePosition
 
 
 class StoreFault(NamedTuple):
@@ -50,6 +54,13 @@
     detail: str
 
 
+class _Response(NamedTuple):
+    """Decoded body of an answer, and the store's position."""
+
+    fields: dict[str, Any]
+    position: StorePosition
+
+
 class StoreClient:
     """Reads and watches keys of the store.
 
@@ -70,24 +81,28 @@
     async def read_all(self, prefix: str) -> Result[StorePage, StoreFault]:
         """Return all items with a key prefix.
 
-        The pages are not a consistent snapshot. The revision is that of the
+        The pages are not a consistent snapshot. The position is that of the
         first page, so that a watch from it repeats the changes made meanwhile.
+        Pages of two eras are no list; the fault is ``forgotten``.
         """
         items: list[StoreItem] = []
-        revision = None
+        position = None
         query: dict[str, Any] = {'prefix': prefix}
         for _ in range(_MAX_PAGES):
             response = await self._call('/v1/kv-range', query, 0)
             if isinstance(response, Err):
                 return response
             page = response.ok_value
-            decoded = [_decode_item(each) for each in page.get('items', ())]
+            fields = page.fields
+            decoded = [_decode_item(each) for each in fields.get('items', ())]
             items += [item for item in decoded if item is not None]
-            revision = page['at'] if revision is None else revision
-            if not page.get('more_pages') or not decoded:
+            position = position or page.position
+            if page.position.era != position.era:
+                return Err(StoreFault(FORGOTTEN, 'restored during a list'))
+            if not fields.get('more_pages') or not decoded:
                 break
-            query['after'] = page['items'][-1].get('key', '')
-        return Ok(StorePage(tuple(items), revision or 0))
+            query['after'] = fields['items'][-1].get('key', '')
+        return Ok(StorePage(tuple(items), position or NO_POSITION))
 
     async def watch(
         self, prefix: str, after: int, wait_s: float
@@ -117,10 +132,12 @@
         if isinstance(response, Err):
             return response
         page = response.ok_value
-        decoded = [_decode_item(each) for each in page.get('events', ())]
+        events = page.fields.get('events', ())
+        decoded = [_decode_item(each) for each in events]
         return Ok(
             StorePage(
-                tuple(item for item in decoded if item is not None), page['at']
+                tuple(item for item in decoded if item is not None),
+                page.position,
             )
         )
 
@@ -130,7 +147,7 @@
 
     async def _call(
         self, path: str, query: dict[str, Any], wait_s: float
-    ) -> Result[dict[str, Any], StoreFault]:
+    ) -> Result[_Response, StoreFault]:
         self.calls += 1
         target = f'{path}?{urlencode(query)}'
         request = Outbound(
@@ -149,24 +166,32 @@
             return Err(StoreFault(UNREACHABLE, 'no answer in time'))
         self._pool.give(self._address, connection)
         if reply.status == _HTTP_GONE:
-            return Err(StoreFault(FORGOTTEN, 'revision history was compacted'))
+            detail = f'no such history in era {_read_era(reply.headers)}'
+            return Err(StoreFault(FORGOTTEN, detail))
         if reply.status != _HTTP_OK:
             return Err(StoreFault(REJECTED, f'status {reply.status}'))
-        return _decode_page(reply.body)
+        return _decode_page(reply)
 
 
 def _accept_headers(_headers: Headers) -> bool:
     return True
 
 
-def _decode_page(content: bytes) -> Result[dict[str, Any], StoreFault]:
+def _decode_page(reply: Answer) -> Result[_Response, StoreFault]:
     try:
-        page = decode(content)
+        fields = decode(reply.body)
     except DecodeError as error:
         return Err(StoreFault(MALFORMED, str(error)))
-    if not isinstance(page, dict) or not isinstance(page.get('at'), int):
+    if not isinstance(fields, dict) or not isinstance(fields.get('at'), int):
         return Err(StoreFault(MALFORMED, 'the answer has no revision'))
-    return Ok(page)
+    position = StorePosition(_read_era(reply.headers), fields['at'])
+    return Ok(_Response(fields, position))
+
+
+def _read_era(headers: Headers) -> int:
+    """Return the era of an answer; a store that states none has one era."""
+    era = header(headers, _ERA) or b''
+    return int(era) if era.isdigit() and len(era) <= _ERA_DIGITS_MAX else 0
 
 
 def _decode_item(fields: Any) -> StoreItem | None:
--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -12,6 +12,7 @@
 )
 from oleanderridge.gateway.outcomes import Outcome, Purpose
 from oleanderridge.gateway.settings import parse_gateway_settings
+from oleanderridge.gateway.store_position import StorePosition
 from oleanderridge.generated.fleet import Acquire, Release
 
 LINES = (
@@ -34,10 +35,16 @@
     return parsed.unwrap()
 
 
-def record(target, zone='z1', **changes):
+def at(revision, era=1):
+    """Return a position of the store."""
+    return StorePosition(era, revision)
+
+
+def record(target, zone='z1', revision=5, era=1, **changes):
     """Return the record of a ready target of the service ``lookup``."""
+    address = f'10.0.0.1:{len(target)}'
     default = TargetRecord(
-        target, 'lookup', f'10.0.0.1:{len(target)}', zone, 2, READY, 0, 1, 5
+        target, 'lookup', address, zone, 2, READY, 0, 1, at(revision, era)
     )
     return default._replace(**changes)
 
--- a/tests/gossip_model.py
+++ b/tests/gossip_model.py
@@ -69,10 +69,13 @@
         Number of hosts, over three zones.
     seed : int
         Seed of losses, delays and start times.
+    lapse_s : float
+        Seconds after which the store drops the entry of a silent target.
     """
 
-    def __init__(self, count, seed):
+    def __init__(self, count, seed, lapse_s=0):
         self.rng = Random(seed)
+        self.lapse_s = lapse_s
         self.by_host = {}
         self.rosters = {}
         self.dead = set()
@@ -190,13 +193,15 @@
         self.by_host[host] = fleet_sync.FleetSync(
             settings,
             roster,
-            Beliefs(lambda _configuration: None, lambda: None),
+            Beliefs(
+                lambda _configuration: None, lambda: None, lapse_s=self.lapse_s
+            ),
             _Network(self, host),
             Random(self.rng.random()),
         )
 
 
-def run_fleet(monkeypatch, count, seed, scenario):
+def run_fleet(monkeypatch, count, seed, scenario, lapse_s=0):
     """Run a scenario with a started fleet in virtual time.
 
     Parameters
@@ -209,6 +214,8 @@
         Seed of the fleet.
     scenario : callable
         Coroutine function that gets the fleet once all hosts know each other.
+    lapse_s : float
+        Seconds after which the store drops the entry of a silent target.
 
     Returns
     -------
@@ -217,7 +224,7 @@
     """
 
     async def main():
-        fleet = GossipFleet(count, seed)
+        fleet = GossipFleet(count, seed, lapse_s)
         monkeypatch.setattr(fleet_sync, 'fetch_sync', fleet.fetch)
         fleet.start()
         await asyncio.sleep(6)
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -1,92 +1,8 @@
 """The store is followed through outages, lapses and lost history."""
 
 import asyncio
-from contextlib import asynccontextmanager
 
-from aiohttp import web
-
-from bench import platform
-from oleanderridge.config.follower import FollowerPorts, StoreFollower
-from oleanderridge.gateway.beliefs import Beliefs
-from oleanderridge.platform.store import StoreClient
-from tests.gateway_world import gateway_settings
-
-_ENTRY = (
-    b'{"service":"s","address":"127.0.0.1:%d","zone":"z1","version":"v1",'
-    b'"slots":2,"state":"%s","warmup_left_s":0,"sequence":4,"born":1}'
-)
-
-
-def _entry(port=1, state=b'ready'):
-    return _ENTRY % (port, state)
-
-
-class _World:
-    """A follower of a stand-in store."""
-
-    def __init__(self, state, address):
-        self.store = state
-        self.beliefs = Beliefs(
-            lambda _configuration: None, lambda: None, outage_s=0.4
-        )
-        self.table = self.beliefs.table
-        self.documents = []
-        self.words = 0
-        settings = gateway_settings(
-            f'store: {{address: "{address}", wait_s: 0.2, timeout_s: 0.2, '
-            'return_grace_s: 0.6}',
-            without='store',
-        )
-        self.client = StoreClient(address, 0.2)
-        self.follower = StoreFollower(
-            settings,
-            self.client,
-            self.table,
-            FollowerPorts(
-                self.documents.append,
-                lambda: None,
-                self._on_word,
-                lambda: True,
-                lambda: self.beliefs.outage_ended_at,
-            ),
-        )
-
-    def _on_word(self):
-        self.words += 1
-        self.beliefs.confirm(asyncio.get_running_loop().time())
-
-    async def until(self, condition, timeout_s=3.0):
-        async with asyncio.timeout(timeout_s):
-            while not condition():
-                self.table.lapse(asyncio.get_running_loop().time())
-                await asyncio.sleep(0.01)
-
-
-@asynccontextmanager
-async def _world():
-    app = platform.build_app()
-    runner = web.AppRunner(app, handler_cancellation=True)
-    await runner.setup()
-    site = web.TCPSite(runner, '127.0.0.1', 0)
-    await site.start()
-    port = site._server.sockets[0].getsockname()[1]
-    world = _World(app[platform.STATE], f'127.0.0.1:{port}')
-    task = asyncio.create_task(world.follower.run())
-    try:
-        yield world
-    finally:
-        task.cancel()
-        await world.client.close()
-        app[platform.STATE].set_mode('down')
-        await runner.cleanup()
-
-
-def _run(scenario):
-    async def run():
-        async with _world() as world:
-            await scenario(world)
-
-    asyncio.run(run())
+from tests.followed_store import entry, run_followed
 
 
 def test_targets_and_documents_arrive_in_pages_and_as_changes():
@@ -94,18 +10,18 @@
 
     async def scenario(world):
         for place in range(120):
-            world.store.set_value(f'servers/i-{place}', _entry(place + 1))
+            world.store.set_value(f'servers/i-{place}', entry(place + 1))
         world.store.set_value('op/config', b'one')
         await world.until(lambda: len(world.table.by_id) == 120)
         assert world.documents[-1] == b'one'
         world.store.set_value('op/config', b'two')
-        world.store.set_value('servers/i-3', _entry(4, b'draining'))
+        world.store.set_value('servers/i-3', entry(4, b'draining'))
         await world.until(lambda: world.table.by_id['i-3'].state == 'draining')
         await world.until(lambda: world.documents[-1] == b'two')
         world.store.remove_value('servers/i-5')
         await world.until(lambda: 'i-5' not in world.table.by_id)
 
-    _run(scenario)
+    run_followed(scenario)
 
 
 def test_a_malformed_entry_names_no_target_and_harms_no_other():
@@ -114,13 +30,13 @@
     async def scenario(world):
         world.store.set_value('servers/i-0', b'\xff\x00')
         world.store.set_value('servers/i-1', b'{"service": 4}')
-        world.store.set_value('servers/i-2', _entry(2, b'asleep'))
-        world.store.set_value('servers/i-3', _entry(3))
+        world.store.set_value('servers/i-2', entry(2, b'asleep'))
+        world.store.set_value('servers/i-3', entry(3))
         world.store.set_value('servers/other', b'[]')
         await world.until(lambda: 'i-3' in world.table.by_id)
         assert set(world.table.by_id) == {'i-3'}
 
-    _run(scenario)
+    run_followed(scenario)
 
 
 def test_a_dropped_history_is_read_again_as_a_list():
@@ -128,7 +44,7 @@
 
     async def scenario(world):
         for place in range(3):
-            world.store.set_value(f'servers/i-{place}', _entry(place + 1))
+            world.store.set_value(f'servers/i-{place}', entry(place + 1))
         await world.until(lambda: len(world.table.by_id) == 3)
         world.store.set_mode('paused')
         await asyncio.sleep(0.3)
@@ -136,12 +52,12 @@
         world.store.revision += 5
         world.store.forget_history()
         world.store.set_mode('up')
-        world.store.set_value('servers/i-9', _entry(9))
+        world.store.set_value('servers/i-9', entry(9))
         await world.until(
             lambda: set(world.table.by_id) == {'i-0', 'i-2', 'i-9'}
         )
 
-    _run(scenario)
+    run_followed(scenario)
 
 
 def test_entries_that_lapsed_with_the_store_away_are_given_time():
@@ -149,7 +65,7 @@
 
     async def scenario(world):
         for place in range(3):
-            world.store.set_value(f'servers/i-{place}', _entry(place + 1))
+            world.store.set_value(f'servers/i-{place}', entry(place + 1))
         await world.until(lambda: len(world.table.by_id) == 3)
         loop = asyncio.get_running_loop()
         world.store.set_mode('down')
@@ -161,11 +77,11 @@
         seen = world.words
         await world.until(lambda: world.words > seen)
         assert len(world.table.by_id) == 3
-        world.store.set_value('servers/i-1', _entry(2))
+        world.store.set_value('servers/i-1', entry(2))
         await world.until(lambda: set(world.table.by_id) == {'i-1'})
         assert loop.time() - back_at > 0.5
 
-    _run(scenario)
+    run_followed(scenario)
 
 
 def test_a_host_that_was_cut_off_alone_removes_a_target_at_once():
@@ -173,7 +89,7 @@
 
     async def scenario(world):
         for place in range(2):
-            world.store.set_value(f'servers/i-{place}', _entry(place + 1))
+            world.store.set_value(f'servers/i-{place}', entry(place + 1))
         await world.until(lambda: len(world.table.by_id) == 2)
         loop = asyncio.get_running_loop()
 
@@ -194,7 +110,7 @@
         others.cancel()
         assert loop.time() - removed_at < 0.4
 
-    _run(scenario)
+    run_followed(scenario)
 
 
 def test_a_host_that_is_back_last_waits_from_the_return_of_the_store():
@@ -202,7 +118,7 @@
 
     async def scenario(world):
         for place in range(2):
-            world.store.set_value(f'servers/i-{place}', _entry(place + 1))
+            world.store.set_value(f'servers/i-{place}', entry(place + 1))
         await world.until(lambda: len(world.table.by_id) == 2)
         world.store.set_mode('down')
         await asyncio.sleep(0.9)
@@ -214,7 +130,7 @@
         assert len(world.table.by_id) == 2
         await world.until(lambda: set(world.table.by_id) == {'i-0'})
 
-    _run(scenario)
+    run_followed(scenario)
 
 
 def test_a_busy_store_is_asked_less_often():
@@ -227,20 +143,20 @@
         await asyncio.sleep(1.5)
         assert sum(world.store.calls.values()) - before <= 3
 
-    _run(scenario)
+    run_followed(scenario)
 
 
 def test_a_silent_store_does_not_hold_the_follower():
     """Guards against a connection that went silent for good."""
 
     async def scenario(world):
-        world.store.set_value('servers/i-1', _entry(1))
+        world.store.set_value('servers/i-1', entry(1))
         await world.until(lambda: world.table.by_id)
         world.store.set_mode('paused')
         await asyncio.sleep(0.7)
         assert not world.follower.reachable
         world.store.set_mode('up')
-        world.store.set_value('servers/i-2', _entry(2))
+        world.store.set_value('servers/i-2', entry(2))
         await world.until(lambda: len(world.table.by_id) == 2)
 
-    _run(scenario)
+    run_followed(scenario)
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -16,9 +16,16 @@
 )
 from oleanderridge.gateway.settings import parse_gateway_settings
 from oleanderridge.gateway.shares import ShareCounter
+from oleanderridge.gateway.store_position import NO_POSITION
 from oleanderridge.gateway.target_table import TargetTable
 from oleanderridge.platform.records import decode_configuration, decode_target
-from tests.gateway_world import LINES, gateway_settings, record, workspace
+from tests.gateway_world import (
+    LINES,
+    at,
+    gateway_settings,
+    record,
+    workspace,
+)
 
 
 def _document(version='r7', **route):
@@ -138,8 +145,8 @@
         'sequence': 1,
         'born': 5,
     }
-    assert decode_target('servers/i', _encode(fields), 3).is_ok()
-    assert decode_target('servers/i', _encode(fields | change), 3).is_err()
+    assert decode_target('servers/i', _encode(fields), at(3)).is_ok()
+    assert decode_target('servers/i', _encode(fields | change), at(3)).is_err()
 
 
 def test_the_newest_word_on_a_target_wins_whatever_its_way():
@@ -147,10 +154,10 @@
     table = TargetTable()
     assert table.put(record('a', revision=5))
     assert not table.put(record('a', revision=4, state='draining'))
-    assert table.remove('a', 8)
+    assert table.remove('a', at(8))
     assert not table.put(record('a', revision=7))
     assert table.put(record('a', revision=9))
-    assert not table.remove('a', 8)
+    assert not table.remove('a', at(8))
 
 
 def test_changes_since_a_revision_give_the_same_table():
@@ -158,16 +165,17 @@
     left, right = TargetTable(), TargetTable()
     for place in range(5):
         left.put(record(f't{place}', revision=place + 1))
-    left.advance(5)
-    right.replace(left.since(0)[0], left.revision)
-    left.remove('t3', 7)
+    left.advance(at(5))
+    right.replace(left.since(NO_POSITION).records, left.position)
+    left.remove('t3', at(7))
     left.put(record('t1', revision=8, state='draining'))
-    left.advance(8)
-    records, removed = left.since(right.revision)
+    left.advance(at(8))
+    records, removed = left.since(right.position)
+    assert set(removed) == {'t3'}
     for each in records:
         right.put(each)
     for target in removed:
-        right.remove(target, left.revision)
+        right.remove(target, left.position)
     assert left.digest == right.digest
 
 
@@ -176,8 +184,8 @@
     table = TargetTable()
     table.put(record('a', revision=5))
     table.put(record('b', revision=5))
-    table.postpone_removal('a', 5, 10)
-    table.postpone_removal('b', 5, 10)
+    table.postpone_removal('a', at(5), 10)
+    table.postpone_removal('b', at(5), 10)
     table.put(record('a', revision=6))
     assert table.lapse(9) == []
     assert table.lapse(10) == ['b']
@@ -188,9 +196,9 @@
     """Guards against a target that left during an outage and stays for good."""
     table = TargetTable()
     table.put(record('a', revision=5))
-    table.postpone_removal('a', 7, 10)
+    table.postpone_removal('a', at(7), 10)
     assert not table.put(record('a', revision=5))
-    table.replace([record('a', revision=5)], 6)
+    table.replace([record('a', revision=5)], at(6))
     assert table.lapse(10) == ['a']
 
 
@@ -199,7 +207,7 @@
     table = TargetTable()
     table.put(record('a', revision=5, born_ms=3))
     assert not table.is_leaving('a', 3)
-    table.remove('a', 7)
+    table.remove('a', at(7))
     assert table.is_leaving('a', 3)
     assert not table.is_leaving('a', 4)
     table.put(record('a', revision=9, born_ms=4))
--- a/tests/test_gateway_request.py
+++ b/tests/test_gateway_request.py
@@ -23,6 +23,7 @@
 from oleanderridge.http1.messages import Inbound
 from oleanderridge.platform.headers import read_notice
 from tests.gateway_world import (
+    at,
     configuration,
     gateway_settings,
     record,
@@ -432,7 +433,7 @@
 
 async def _see_removal(harness):
     harness.table.put(record('t0'))
-    harness.table.remove('t0', 9)
+    harness.table.remove('t0', at(9))
 
 
 def test_a_leader_that_misses_a_leave_is_told_and_not_obeyed():
