--- a/oleanderridge/forward/gateway_request.py
+++ b/oleanderridge/forward/gateway_request.py
@@ -7,19 +7,19 @@
 import math
 from collections.abc import Callable
 from random import Random
-from typing import Any, Final, NamedTuple
+from typing import Final, NamedTuple
 
 from oleanderridge.dispatch.permit_client import PermitClient
 from oleanderridge.dispatch.placement import NO_RETRY_LEFT, RATE_EXCEEDED
 from oleanderridge.dispatch.target_notices import TargetNotices
 from oleanderridge.forward.gateway_answers import (
-    SUCCESS_STATUSES,
     RequestResult,
     classify_answer,
     forwarded_reply,
     may_forward,
     refusal_result,
 )
+from oleanderridge.forward.gateway_logs import log_end, log_refusal, log_send
 from oleanderridge.forward.gateway_progress import (
     ActiveSend,
     RequestProgress,
@@ -28,7 +28,6 @@
 from oleanderridge.gateway.model import (
     SAFE,
     Configuration,
-    TargetNotice,
     find_route,
     priority_of,
 )
@@ -36,13 +35,8 @@
 from oleanderridge.gateway.shares import ShareCounter
 from oleanderridge.generated.fleet import Acquire, Grant, Refused
 from oleanderridge.generated.gateway import GatewaySettings
-from oleanderridge.http1.client import (
-    NOT_SENT,
-    Answer,
-    ConnectionPool,
-    ExchangeError,
-    Outbound,
-)
+from oleanderridge.http1.client import NOT_SENT, Answer, ExchangeError, Outbound
+from oleanderridge.http1.connection_pool import ConnectionPool
 from oleanderridge.http1.messages import Inbound, Reply, header
 from oleanderridge.platform.headers import (
     CallerTerms,
@@ -53,7 +47,6 @@
     target_headers,
 )
 from oleanderridge.platform.interface import path_of
-from oleanderridge.telemetry.logs import log_event
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -123,7 +116,10 @@
         terms = read_caller_terms(inbound.headers)
         prepared = self._prepare(inbound, terms)
         if isinstance(prepared, RequestResult):
-            self._log_refusal(inbound, terms, prepared)
+            configuration = self._ports.configuration()
+            version = configuration.version if configuration else 0
+            log_refusal(inbound, terms, prepared, version)
+            self._ports.on_ended('', prepared.reason, 'none', 0)
             return prepared.reply
         task = asyncio.ensure_future(self._run(prepared))
         await asyncio.wait(
@@ -133,7 +129,11 @@
             result = task.result()
         else:
             result = await self._on_caller_left(prepared, task)
-        self._log_end(prepared, result)
+        duration_s = _now() - inbound.received_at
+        log_end(prepared, result, duration_s, self._ports.permits.leader())
+        self._ports.on_ended(
+            prepared.service, result.reason, prepared.route.kind, duration_s
+        )
         return result.reply
 
     def _prepare(
@@ -261,7 +261,7 @@
             active_send.answer_bytes,
             active_send.notice,
         )
-        self._log_send(request, active_send, sent)
+        log_send(request, active_send, sent, request.deadline - _now())
 
     def _is_grant_usable(self, request: RequestProgress, grant: Grant) -> bool:
         target, born_ms = grant.target, grant.born_ms
@@ -403,85 +403,6 @@
             return refusal_result(504, 'target-timeout')
         return refusal_result(502, f'target-{last.name.lower()}')
 
-    def _log_send(
-        self,
-        request: RequestProgress,
-        active_send: ActiveSend,
-        sent: SendResult,
-    ) -> None:
-        grant = active_send.grant
-        log_event(
-            _LOGGER,
-            'send-ended',
-            logging.INFO,
-            id=request.terms.attempt_id,
-            permit=grant.permit,
-            placed_by=active_send.placed_by,
-            target=grant.target,
-            address=grant.address,
-            bytes=active_send.answer_bytes,
-            detail=active_send.detail or None,
-            outcome=sent.outcome.name.lower(),
-            ms=round(sent.latency_s * 1000),
-            leaving=active_send.notice.leaving or None,
-            limit_per_s=_stated_limit(active_send.notice),
-            pause_s=active_send.notice.pause_s or None,
-            move_ms=grant.move_ms,
-            bad_percent=grant.bad_percent,
-            left_ms=round((request.deadline - _now()) * 1000),
-        )
-
-    def _log_refusal(
-        self, inbound: Inbound, terms: CallerTerms, result: RequestResult
-    ) -> None:
-        configuration = self._ports.configuration()
-        log_event(
-            _LOGGER,
-            'request-refused',
-            logging.WARNING,
-            id=terms.attempt_id,
-            status=result.reply.status,
-            reason=result.reason,
-            path=path_of(inbound.target),
-            version=configuration.version if configuration else 0,
-        )
-        self._ports.on_ended('', result.reason, 'none', 0)
-
-    def _log_end(self, request: RequestProgress, result: RequestResult) -> None:
-        duration_s = _now() - request.inbound.received_at
-        succeeded = result.reply.status in SUCCESS_STATUSES
-        sends = ','.join(
-            f'{send.target}:{send.outcome.name.lower()}:'
-            f'{send.latency_s * 1000:.0f}'
-            for send in request.sends
-        )
-        workspace = request.workspace
-        refused = request.permit_refusal
-        fields: dict[str, Any] = {
-            'id': request.terms.attempt_id,
-            'status': result.reply.status,
-            'reason': result.reason,
-            'ms': round(duration_s * 1000),
-            'route': request.route.name,
-            'service': request.service,
-            'workspace': workspace.name if workspace else '-',
-            'sends': sends or '-',
-            'refused': refused.reason if refused else '-',
-            'permit': refused.permit if refused else None,
-            'version': request.version,
-            'leader': self._ports.permits.leader(),
-        }
-        level = logging.INFO if succeeded else logging.WARNING
-        log_event(_LOGGER, 'request-ended', level, **fields)
-        self._ports.on_ended(
-            request.service, result.reason, request.route.kind, duration_s
-        )
-
-
-def _stated_limit(notice: TargetNotice) -> float | None:
-    limit_per_s = notice.limit_per_s
-    return None if limit_per_s == math.inf else limit_per_s
-
 
 def _now() -> float:
     return asyncio.get_running_loop().time()
--- a/oleanderridge/gateway/process.py
+++ b/oleanderridge/gateway/process.py
@@ -31,7 +31,8 @@
     GatewaySettings,
     StoreSettings,
 )
-from oleanderridge.http1.client import AnswerLimits, ConnectionPool
+from oleanderridge.http1.client import AnswerLimits
+from oleanderridge.http1.connection_pool import ConnectionPool
 from oleanderridge.http1.server import Edge, EdgeLimits
 from oleanderridge.membership.roster import LEAVING, READY, Roster
 from oleanderridge.platform.store import StoreClient
--- a/oleanderridge/http1/client.py
+++ b/oleanderridge/http1/client.py
@@ -3,9 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-import math
 import re
-from collections import deque
 from collections.abc import Callable
 from typing import Any, Final, NamedTuple
 
@@ -44,8 +42,8 @@
     interim_answers: int = 8
 
 
-class _UnfinishedBytes:
-    """Bytes of the unfinished answers of a pool."""
+class UnfinishedBytes:
+    """Bytes of the unfinished answers of all connections of a pool."""
 
     def __init__(self) -> None:
         self.total = 0
@@ -91,11 +89,11 @@
     def __init__(
         self,
         limits: AnswerLimits | None = None,
-        unfinished: _UnfinishedBytes | None = None,
+        unfinished: UnfinishedBytes | None = None,
     ) -> None:
         self._loop = asyncio.get_running_loop()
         self._limits = limits or AnswerLimits()
-        self._unfinished = unfinished or _UnfinishedBytes()
+        self._unfinished = unfinished or UnfinishedBytes()
         self._http = self._new_h11_connection()
         self._transport: Any = None
         self._request: Outbound | None = None
@@ -360,126 +358,3 @@
     if stated_timeout is None:
         return _KEEP_ALIVE_DEFAULT_S
     return max(0, int(stated_timeout[1]) - _KEEP_ALIVE_MARGIN_S)
-
-
-class ConnectionPool:
-    """Pool of idle connections by address.
-
-    Parameters
-    ----------
-    connect_timeout_s : float
-        Timeout in seconds for opening a connection.
-    idle_connections_max : int
-        Maximum number of idle connections over all addresses.
-    limits : AnswerLimits or None
-        Bounds on what peers may send; None for the defaults.
-    """
-
-    def __init__(
-        self,
-        connect_timeout_s: float,
-        idle_connections_max: int,
-        limits: AnswerLimits | None = None,
-    ) -> None:
-        self._limits = limits or AnswerLimits()
-        self._unfinished = _UnfinishedBytes()
-        self._connect_timeout_s = connect_timeout_s
-        self._idle_connections_max = idle_connections_max
-        self._idle_by_address: dict[str, deque[TargetConnection]] = {}
-        self._idle_count = 0
-        self.connections_opened = 0
-
-    async def take(
-        self, address: str, idle_max_s: float = math.inf
-    ) -> TargetConnection:
-        """Return an idle connection, or open a new one.
-
-        Parameters
-        ----------
-        address : str
-            IP address and port.
-        idle_max_s : float
-            Connections that have been idle for longer are closed instead.
-
-        Returns
-        -------
-        TargetConnection
-            To be returned with ``give`` after a complete exchange.
-
-        Raises
-        ------
-        ExchangeError
-            The connection failed; the kind is ``not-sent``.
-        """
-        loop = asyncio.get_running_loop()
-        idle = self._idle_by_address.get(address)
-        now = loop.time()
-        while idle:
-            connection = idle.pop()
-            self._idle_count -= 1
-            if not connection.is_reusable(now):
-                connection.close()
-                continue
-            if now - connection.idle_since <= idle_max_s:
-                return connection
-            connection.close()
-        host, _, port = address.rpartition(':')
-        self.connections_opened += 1
-        try:
-            async with asyncio.timeout(self._connect_timeout_s):
-                _, connection = await loop.create_connection(
-                    self._new_connection, host, int(port)
-                )
-        except (OSError, ValueError) as error:
-            detail = str(error) or 'no connection in time'
-            raise ExchangeError(NOT_SENT, detail) from error
-        return connection
-
-    def unfinished_bytes(self) -> int:
-        """Return the bytes of answers that are not complete yet."""
-        return self._unfinished.total
-
-    def _new_connection(self) -> TargetConnection:
-        return TargetConnection(self._limits, self._unfinished)
-
-    def give(self, address: str, connection: TargetConnection) -> None:
-        """Return a connection to the pool after a complete exchange.
-
-        Parameters
-        ----------
-        address : str
-            IP address and port of the peer.
-        connection : TargetConnection
-            Discarded if it is closed, closed if the pool is full.
-        """
-        if connection.closed:
-            return
-        if self._idle_count >= self._idle_connections_max:
-            connection.close()
-            return
-        self._idle_count += 1
-        self._idle_by_address.setdefault(address, deque()).append(connection)
-
-    def sweep(self) -> None:
-        """Close connections that are past their keep-alive timeout."""
-        now = asyncio.get_running_loop().time()
-        for address, idle in tuple(self._idle_by_address.items()):
-            usable = deque(
-                connection for connection in idle if connection.is_reusable(now)
-            )
-            for connection in idle:
-                if connection not in usable:
-                    connection.close()
-            self._idle_count += len(usable) - len(idle)
-            if usable:
-                self._idle_by_address[address] = usable
-            else:
-                del self._idle_by_address[address]
-
-    def close(self) -> None:
-        """Close all idle connections."""
-        for idle in self._idle_by_address.values():
-            for connection in idle:
-                connection.close()
-        self._idle_by_address.clear()
-        self._idle_count = 0
--- a/oleanderridge/platform/store.py
+++ b/oleanderridge/platform/store.py
@@ -12,12 +12,8 @@
 from result import Err, Ok, Result
 
 from oleanderridge.gateway.store_position import NO_POSITION, StorePosition
-from oleanderridge.http1.client import (
-    Answer,
-    ConnectionPool,
-    ExchangeError,
-    Outbound,
-)
+from oleanderridge.http1.client import Answer, ExchangeError, Outbound
+from oleanderridge.http1.connection_pool import ConnectionPool
 from oleanderridge.http1.messages import Headers, header
 
 _HTTP_OK: Final = 200
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -5,12 +5,8 @@
 
 import pytest
 
-from oleanderridge.http1.client import (
-    AnswerLimits,
-    ConnectionPool,
-    ExchangeError,
-    Outbound,
-)
+from oleanderridge.http1.client import AnswerLimits, ExchangeError, Outbound
+from oleanderridge.http1.connection_pool import ConnectionPool
 from oleanderridge.platform.headers import answers_attempt
 from tests.stub_target import StubTarget, answer
 
--- a/tests/test_gateway_request.py
+++ b/tests/test_gateway_request.py
@@ -19,7 +19,7 @@
 )
 from oleanderridge.gateway.target_table import TargetTable
 from oleanderridge.generated.fleet import Acquire
-from oleanderridge.http1.client import ConnectionPool
+from oleanderridge.http1.connection_pool import ConnectionPool
 from oleanderridge.http1.messages import Inbound
 from oleanderridge.platform.headers import read_notice
 from tests.gateway_world import (
--- a/tests/test_http1_client.py
+++ b/tests/test_http1_client.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from oleanderridge.http1.client import ConnectionPool, ExchangeError, Outbound
+from oleanderridge.http1.client import ExchangeError, Outbound
+from oleanderridge.http1.connection_pool import ConnectionPool
 from oleanderridge.platform.headers import answers_attempt
 from tests.stub_target import StubTarget, answer
 
