Stop sending requests that crash their targets

Cause: attempts of one request had nothing in common but their targets' fate: a request was known by its attempt's id, and a connection that broke blamed the target alone. Repeats within an attempt are not the cause (orders, which aren't repeated, crash as many).

Change: a request has a fingerprint (caller, method, host, path, query, body). When a connection is cut off, the host looks whether the target still listens; if not, the target has ended, and the release says so. CrashEvidence counts the targets that ended under a request, one after the other: the second one blocks it if it had them to itself, the third in any case. Targets that end at the same time count as one, company divides the blame, an answer clears. A block lasts 10 s, each further one four times as long, with one trial between. Hosts pass crashes and blocks on in heartbeats, so that a successor knows them; a host that bypasses the leader is careful after one crash. What is blocked gets 502 without a time to come back, since such a request has run.

--- a/oleanderridge/dispatch/permit_client.py
+++ b/oleanderridge/dispatch/permit_client.py
@@ -9,6 +9,7 @@
 from random import Random
 from typing import Final, NamedTuple
 
+from oleanderridge.dispatch.crash_evidence import UNKNOWN_REQUEST
 from oleanderridge.dispatch.placement import NO_TARGET, Placement
 from oleanderridge.dispatch.target_notices import limit_to_milli
 from oleanderridge.gateway.compact import Compact
@@ -39,6 +40,21 @@
 SendMessage = Callable[[str, Compact], None]
 
 
+class SendEvidence(NamedTuple):
+    """What an attempt shows of its target and its request.
+
+    ``notice`` is what the target said of itself; ``target_ended`` tells
+    whether its process ended while it had the request.
+    """
+
+    notice: TargetNotice = NO_NOTICE
+    fingerprint: int = UNKNOWN_REQUEST
+    target_ended: bool = False
+
+
+NO_EVIDENCE: Final = SendEvidence()
+
+
 class LeaderLookup(NamedTuple):
     """Access to the current leader.
 
@@ -192,7 +208,7 @@
         outcome: Outcome,
         latency_s: float,
         size: int,
-        notice: TargetNotice = NO_NOTICE,
+        evidence: SendEvidence = NO_EVIDENCE,
     ) -> None:
         """Return a permit to the host that granted it.
 
@@ -206,9 +222,10 @@
             Duration of the attempt in seconds.
         size : int
             Size of the answer in bytes.
-        notice : TargetNotice
-            What the target said of itself.
+        evidence : SendEvidence
+            What the attempt shows of the target and the request.
         """
+        notice = evidence.notice
         issuer = self._issuer_by_permit.pop(grant.permit, self._host)
         message = Release(
             grant.permit,
@@ -218,6 +235,8 @@
             notice.leaving,
             limit_to_milli(notice.limit_per_s),
             math.ceil(notice.pause_s * 1000),
+            evidence.fingerprint,
+            evidence.target_ended,
         )
         if issuer == self._host:
             self.deliver_replies(self._placement.release(message, self._now()))
--- a/oleanderridge/dispatch/placement.py
+++ b/oleanderridge/dispatch/placement.py
@@ -6,11 +6,13 @@
 
 from __future__ import annotations
 
+import logging
 from collections.abc import Collection, Iterable, Mapping
 from random import Random
 from typing import Any, Final
 
 from oleanderridge.admission.quota import FleetQuota
+from oleanderridge.dispatch.crash_evidence import Crash, CrashEvidence
 from oleanderridge.dispatch.final_replies import FinalReplies
 from oleanderridge.dispatch.grants import build_grant
 from oleanderridge.dispatch.held_permits import HeldPermit, HeldPermits
@@ -47,11 +49,15 @@
     RetryUse,
 )
 from oleanderridge.generated.gateway import GatewaySettings
+from oleanderridge.telemetry.logs import log_event
+
+_LOGGER = logging.getLogger(__name__)
 
 RATE_EXCEEDED: Final = 'rate-exceeded'
 NO_TARGET: Final = 'no-target'
 NO_RETRY_LEFT: Final = 'no-retry-left'
 RELEASED: Final = 'released'
+CRASHES_TARGETS: Final = 'crashes-targets'
 PERMIT_IN_USE: Final = 'permit-in-use'
 
 # A slot whose release message was lost is freed this long after the deadline.
@@ -93,6 +99,7 @@
         self._final_replies = FinalReplies()
         self.quota = FleetQuota(settings['bounds'], rng)
         self.notices = TargetNotices()
+        self.crash_evidence = CrashEvidence()
         self.fleet_share = 1.0
         self._limit_share = 1.0
         self._leads = True
@@ -188,6 +195,8 @@
     def _decide(
         self, request: Acquire, service: ServiceState, now: float
     ) -> Reply:
+        if self._crashes_targets(request, now):
+            return Refused(request.permit, CRASHES_TARGETS, 0)
         refused = self._check_limits(request, service, now)
         if refused is not None:
             return refused
@@ -231,6 +240,7 @@
             return []
         service = self._service(attempt.service, now)
         self._take_notice(message, attempt, state, now)
+        self._record_evidence(message, state, now)
         if outcome in UNSENT:
             state.refund()
             if attempt.is_retry:
@@ -258,6 +268,7 @@
         """
         replies: AddressedReplies = []
         self._final_replies.expire(now)
+        self.crash_evidence.expire(now)
         for state in self._targets_by_id.values():
             for permit in state.expire(now):
                 self._held_permits.pop(permit)
@@ -311,6 +322,7 @@
         )
         if state.record.born_ms == grant.born_ms:
             self._take_notice(message, attempt, state, now)
+            self._record_evidence(message, state, now)
         outcome, latency_s = Outcome(message.outcome), message.latency_ms / 1000
         state.end(attempt, outcome, latency_s, service.latencies_of, now)
 
@@ -394,6 +406,36 @@
                 other for other in service.targets if other is not state
             ]
 
+    def _crashes_targets(self, request: Acquire, now: float) -> bool:
+        # While another host leads, this one may not know of its crashes.
+        return self.crash_evidence.is_blocked(
+            request.fingerprint, now, cautious=not self._leads
+        )
+
+    def _record_evidence(
+        self, message: Release, state: TargetState, now: float
+    ) -> None:
+        evidence, fingerprint = self.crash_evidence, message.fingerprint
+        if message.outcome == Outcome.ANSWERED:
+            evidence.record_answer(fingerprint, now)
+        if not message.crashed:
+            return
+        state.failure_estimate.record_connect_failure(now)
+        started = now - message.latency_ms / 1000
+        record = state.record
+        requests = 1 + len(state.attempts)
+        crash = Crash(record.target, record.born_ms, started, now, requests)
+        if evidence.record_crash(fingerprint, crash, now):
+            log_event(
+                _LOGGER,
+                'request-blocked',
+                logging.WARNING,
+                fingerprint=f'{fingerprint:x}',
+                target=record.target,
+                service=record.service,
+                permit=message.permit,
+            )
+
     def _check_limits(
         self, request: Acquire, service: ServiceState, now: float
     ) -> Refused | None:
@@ -442,6 +484,7 @@
             request.purpose == Purpose.REPEAT,
         )
         state.start(request.permit, attempt)
+        self.crash_evidence.begin_trial(request.fingerprint, now)
         held = HeldPermit(request.host, state.record.target, now)
         self._held_permits.add(request.permit, held)
         return build_grant(request, service, state.record, probability_bad)
@@ -486,6 +529,12 @@
             if unplaced >= _MAX_UNPLACED_PER_PASS or not service.has_room(now):
                 break
             request = entry.request
+            if self._crashes_targets(request, now):
+                service.queue.pop(request.permit)
+                self._refund(request, service, now)
+                refused = Refused(request.permit, CRASHES_TARGETS, 0)
+                replies.append((request.host, refused))
+                continue
             target = self._choose(entry, service, now)
             if target is None and can_be_placed(request, service, now):
                 unplaced += 1
--- a/oleanderridge/forward/gateway_logs.py
+++ b/oleanderridge/forward/gateway_logs.py
@@ -6,6 +6,7 @@
 import math
 from typing import Any
 
+from oleanderridge.dispatch.placement import CRASHES_TARGETS
 from oleanderridge.forward.gateway_answers import (
     SUCCESS_STATUSES,
     RequestResult,
@@ -60,6 +61,10 @@
         leaving=notice.leaving or None,
         limit_per_s=_stated_limit(notice),
         pause_s=notice.pause_s or None,
+        target_ended=active_send.target_ended or None,
+        fingerprint=f'{request.fingerprint:x}'
+        if active_send.target_ended
+        else None,
         move_ms=grant.move_ms,
         bad_percent=grant.bad_percent,
         left_ms=round(left_s * 1000),
@@ -132,6 +137,9 @@
         'permit': refused.permit if refused else None,
         'version': request.version,
         'leader': leader,
+        'fingerprint': f'{request.fingerprint:x}'
+        if result.reason == CRASHES_TARGETS
+        else None,
     }
     succeeded = result.reply.status in SUCCESS_STATUSES
     level = logging.INFO if succeeded else logging.WARNING
--- a/oleanderridge/forward/gateway_progress.py
+++ b/oleanderridge/forward/gateway_progress.py
@@ -4,6 +4,7 @@
 
 from typing import Final, NamedTuple
 
+from oleanderridge.forward.fingerprint import fingerprint_of
 from oleanderridge.gateway.model import (
     NO_NOTICE,
     SAFE,
@@ -65,6 +66,7 @@
         self.in_flight = 0
         self.last_answer: Answer | None = None
         self.permit_refusal: Refused | None = None
+        self.fingerprint = fingerprint_of(inbound, terms.host, workspace)
 
     def count_possible_executions(self) -> int:
         """Return how many sends a target may have executed."""
@@ -108,3 +110,4 @@
         self.detail = ''
         self.answer_bytes = 0
         self.notice = NO_NOTICE
+        self.target_ended = False
--- a/oleanderridge/forward/gateway_request.py
+++ b/oleanderridge/forward/gateway_request.py
@@ -9,8 +9,12 @@
 from random import Random
 from typing import Final, NamedTuple
 
-from oleanderridge.dispatch.permit_client import PermitClient
-from oleanderridge.dispatch.placement import NO_RETRY_LEFT, RATE_EXCEEDED
+from oleanderridge.dispatch.permit_client import PermitClient, SendEvidence
+from oleanderridge.dispatch.placement import (
+    CRASHES_TARGETS,
+    NO_RETRY_LEFT,
+    RATE_EXCEEDED,
+)
 from oleanderridge.dispatch.target_notices import TargetNotices
 from oleanderridge.forward.gateway_answers import (
     RequestResult,
@@ -35,7 +39,16 @@
 from oleanderridge.gateway.shares import ShareCounter
 from oleanderridge.generated.fleet import Acquire, Grant, Refused
 from oleanderridge.generated.gateway import GatewaySettings
-from oleanderridge.http1.client import NOT_SENT, Answer, ExchangeError, Outbound
+from oleanderridge.http1.client import (
+    GARBLED,
+    NOT_SENT,
+    RESET,
+    SHORT,
+    STALE,
+    Answer,
+    ExchangeError,
+    Outbound,
+)
 from oleanderridge.http1.connection_pool import ConnectionPool
 from oleanderridge.http1.messages import Inbound, Reply, header
 from oleanderridge.platform.headers import (
@@ -63,13 +76,16 @@
 # Retry-After of refusals for which the placement gives no time.
 _DEFAULT_RETRY_AFTER_S: Final = 0.3
 _DEADLINE: Final = 'deadline'
+# A target whose connection was cut off has ended if it takes no new one.
+_CUT_OFF_KINDS: Final = frozenset((RESET, STALE, SHORT))
+_END_CHECK_TIMEOUT_S: Final = 0.05
 
 _OUTCOME_BY_ERROR_KIND: Final = {
     NOT_SENT: Outcome.NOT_SENT,
-    'reset': Outcome.RESET,
-    'stale': Outcome.RESET,
-    'short': Outcome.GARBLED,
-    'garbled': Outcome.GARBLED,
+    RESET: Outcome.RESET,
+    STALE: Outcome.RESET,
+    SHORT: Outcome.GARBLED,
+    GARBLED: Outcome.GARBLED,
 }
 
 
@@ -213,6 +229,7 @@
             max(1, int(route.aim_s * 1000)),
             int(waited_s * 1000),
             [send.target for send in request.sends],
+            request.fingerprint,
         )
 
     async def _send(
@@ -224,7 +241,8 @@
             notice = self._ports.notices.notice_of(
                 grant.target, grant.born_ms, _now()
             )
-            self._ports.permits.release(grant, Outcome.UNUSED, 0, 0, notice)
+            evidence = SendEvidence(notice)
+            self._ports.permits.release(grant, Outcome.UNUSED, 0, 0, evidence)
             request.sends.append(SendResult(grant.target, Outcome.UNUSED, 0))
             return await self._acquire(request)
         placed_by = self._ports.permits.granter(grant.permit)
@@ -259,7 +277,11 @@
             outcome,
             latency_s,
             active_send.answer_bytes,
-            active_send.notice,
+            SendEvidence(
+                active_send.notice,
+                request.fingerprint,
+                active_send.target_ended,
+            ),
         )
         log_send(request, active_send, sent, request.deadline - _now())
 
@@ -329,6 +351,10 @@
         except ExchangeError as error:
             active_send.outcome = _OUTCOME_BY_ERROR_KIND[error.kind]
             active_send.detail = error.detail
+            if error.kind in _CUT_OFF_KINDS:
+                active_send.target_ended = await self._ports.pool.is_refused(
+                    active_send.grant.address, _END_CHECK_TIMEOUT_S
+                )
             return
         request.last_answer = answer
         active_send.outcome = classify_answer(answer)
@@ -385,6 +411,9 @@
     ) -> RequestResult:
         if request.count_possible_executions():
             return self._end_with_failure(request)
+        if refused.reason == CRASHES_TARGETS:
+            # It has run before, so it is not told that it may come again.
+            return refusal_result(502, CRASHES_TARGETS)
         retry_s = refused.retry_ms / 1000 or None
         if refused.reason == RATE_EXCEEDED:
             return refusal_result(429, RATE_EXCEEDED, retry_s)
--- a/oleanderridge/gateway/fleet_sync.py
+++ b/oleanderridge/gateway/fleet_sync.py
@@ -11,6 +11,7 @@
 
 from result import Err
 
+from oleanderridge.dispatch.crash_evidence import CrashNews
 from oleanderridge.gateway.beliefs import Beliefs
 from oleanderridge.gateway.model import DRAINING
 from oleanderridge.gateway.packing import pack, unpack
@@ -60,6 +61,9 @@
 _ADVICE_TTL_S: Final = 0.1
 
 
+_NO_NEWS: Final = CrashNews([], [])
+
+
 class _KnownMembers(NamedTuple):
     """The last change of a leader's list of hosts that this host has."""
 
@@ -128,6 +132,10 @@
         self._leader = ''
         self._advice = _Advice([], [], [])
         self._advice_until: float = 0
+        self._news = _NO_NEWS
+        self._news_until: float = 0
+        self.crash_news: Callable[[], CrashNews] = lambda: _NO_NEWS
+        self.on_crash_news: Callable[[CrashNews], None] = lambda _news: None
         self.avoid: Callable[[], list[str]] = list
         self.on_avoid: Callable[[list[str]], None] = lambda _targets: None
         self.held_permits: Callable[[str], list[int]] = lambda _host: []
@@ -212,6 +220,7 @@
         if beat.reply_wanted:
             reply = self._build_heartbeat(now, reply_wanted=False)
             self._datagrams.send(beat.host, reply)
+        self._take_crash_news(beat)
         self._contact_higher_leader(beat, now)
         self._reconcile(beat, now)
 
@@ -302,6 +311,7 @@
     def _build_heartbeat(self, now: float, *, reply_wanted: bool) -> Beat:
         roster = self._roster
         advice = _Advice([], [], [])
+        news = self._current_news(now)
         leader = roster.leader_entry(now)
         if not reply_wanted and leader.host == roster.host:
             advice = self._current_advice(now)
@@ -324,6 +334,8 @@
             leader.strength,
             retry_uses=advice.retry_uses,
             store_era=self._beliefs.table.position.era,
+            crashes=news.crashes,
+            blocked=news.blocked,
         )
 
     def _current_advice(self, now: float) -> _Advice:
@@ -334,6 +346,12 @@
             self._advice_until = now + _ADVICE_TTL_S
         return self._advice
 
+    def _current_news(self, now: float) -> CrashNews:
+        if now >= self._news_until:
+            self._news = self.crash_news()
+            self._news_until = now + _ADVICE_TTL_S
+        return self._news
+
     def _contact_higher_leader(self, beat: Beat, now: float) -> None:
         """Contact the sender's leader if it outranks the own one.
 
@@ -383,6 +401,14 @@
         if isinstance(beat.retry_uses, list):
             self.on_retry_uses(beat.retry_uses)
 
+    def _take_crash_news(self, beat: Beat) -> None:
+        news = CrashNews(
+            beat.crashes if isinstance(beat.crashes, list) else [],
+            beat.blocked if isinstance(beat.blocked, list) else [],
+        )
+        if news != _NO_NEWS:
+            self.on_crash_news(news)
+
     def _is_behind(self, beat: Beat) -> bool:
         if beat.config_version > self._beliefs.version():
             return True
--- a/oleanderridge/gateway/process.py
+++ b/oleanderridge/gateway/process.py
@@ -148,6 +148,9 @@
         self._sync.on_retry_uses = lambda uses: (
             self._placement.record_retry_uses(uses, _now())
         )
+        evidence = self._placement.crash_evidence
+        self._sync.crash_news = lambda: evidence.news(_now())
+        self._sync.on_crash_news = lambda news: evidence.merge(news, _now())
         self._reload = SettingsReload(settings, path)
         self._stopping = asyncio.Event()
         self._tasks: set[asyncio.Task] = set()
--- a/oleanderridge/http1/connection_pool.py
+++ b/oleanderridge/http1/connection_pool.py
@@ -82,6 +82,31 @@
             detail = str(error) or 'no connection in time'
             raise ExchangeError(NOT_SENT, detail) from error
 
+    async def is_refused(self, address: str, timeout_s: float) -> bool:
+        """Return whether nothing listens at an address.
+
+        Parameters
+        ----------
+        address : str
+            IP address and port.
+        timeout_s : float
+            Timeout in seconds.
+
+        Returns
+        -------
+        bool
+            False if a connection opens, which is kept, or if nothing answers.
+        """
+        try:
+            connection = await self._connect(address, timeout_s)
+        except ConnectionRefusedError:
+            return True
+        except (OSError, ValueError):
+            return False
+        connection.idle_since = asyncio.get_running_loop().time()
+        self.give(address, connection)
+        return False
+
     def unfinished_bytes(self) -> int:
         """Return the bytes of answers that are not complete yet."""
         return self._unfinished.total
