Refuse odd entries of targets and odd configurations

Report of another operator: one entry of another writer, deeply nested, with a number too large or a port out of range, ended the machines that read the list again and again.

It could happen here. Nested lists raised RecursionError in the follower, which ends the process, at each start again; slots, starts and sequences beyond 64 bits were accepted and could not be encoded for other hosts, so that hosts stopped following each other; ports 0, 99999 and of other scripts' digits, names in place of addresses and keys that no header holds were accepted. The decoder of configurations had the first three (a version of 30 digits is enough).

Change: bounds on numbers, names and addresses; a document that can't be decoded for its depth is malformed like any other. A negative warmup counts as none.

The ports of settings are checked by the same function and refuse digits of other scripts now.

--- a/oleanderridge/addresses.py
+++ b/oleanderridge/addresses.py
@@ -9,7 +9,7 @@
 # Names are refused: hosts connect to IP addresses only, and nothing in the
 # system resolves names.
 _ADDRESS: Final = compile_pattern(
-    r'(?:\[(?P<six>[0-9A-Fa-f:.]+)\]|(?P<four>[0-9.]+))(?::(?P<port>\d{1,5}))?'
+    r'(?:\[(?P<six>[0-9A-Fa-f:.]+)\]|(?P<four>[0-9.]+))(?::(?P<port>[0-9]{1,5}))?'
 )
 _PORT_MAX: Final = 65535
 
--- a/oleanderridge/platform/records.py
+++ b/oleanderridge/platform/records.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterator
-from typing import Any, Final
+from re import compile as compile_pattern
+from typing import Any, Final, NamedTuple
 
 from msgspec import DecodeError
 from msgspec.json import decode
 from result import Err, Ok, Result
 
+from oleanderridge.addresses import is_address
 from oleanderridge.findings import Finding
 from oleanderridge.gateway.model import (
     DRAINING,
@@ -31,6 +33,27 @@
 _KIND_BY_ROUTE_TYPE: Final = {'safe': SAFE, 'download': SAFE, 'unsafe': UNSAFE}
 Fields = dict[str, Any]
 
+_TARGET_NAME: Final = compile_pattern('[!-~]{1,200}')
+_VERSION: Final = compile_pattern('r[0-9]{1,15}')
+_MAX_NAME_LENGTH: Final = 255
+# Of a value that is not valid, so many characters are reported.
+_MAX_SHOWN: Final = 32
+# Documents nested too deeply, or with numbers of too many digits.
+_UNDECODABLE: Final = (DecodeError, ValueError, RecursionError)
+
+
+class _Bounds(NamedTuple):
+    """Inclusive bounds of a number."""
+
+    least: float
+    most: float
+
+
+# Whole numbers up to this are the same in JSON, as a float and on the wire.
+_NUMBER: Final = _Bounds(0, 2**53 - 1)
+_SLOTS: Final = _Bounds(1, 65536)
+_WARMUP_S: Final = _Bounds(-86400, 86400)
+
 
 class _FieldError(Exception):
     """A field is missing or has the wrong type or value."""
@@ -69,37 +92,33 @@
         )
     except _FieldError as field_error:
         return Err(Finding(key, 0, field_error.path, field_error.message))
-    except (DecodeError, ValueError) as error:
+    except _UNDECODABLE as error:
         return Err(Finding(key, 0, '', f'cannot be decoded: {error}'))
 
 
 def _decode_target_fields(
     target: str, fields: Fields, position: StorePosition
 ) -> TargetRecord:
-    state = _string_field(fields, 'state', '$')
+    if not _TARGET_NAME.fullmatch(target):
+        raise _FieldError('', 'the key names no target')
+    state = _name_field(fields, 'state', '$')
     if state not in _STATE_BY_NAME:
         raise _FieldError('$.state', f'{state!r} is not a known state')
-    address = _string_field(fields, 'address', '$')
-    host, _, port = address.rpartition(':')
-    if not host or not port.isdigit():
-        raise _FieldError('$.address', 'is not an address with a port')
-    slots = _number_field(fields, 'slots', '$')
-    if slots < 1 or slots != int(slots):
-        raise _FieldError('$.slots', f'{slots} is not a valid number of slots')
-    born = _number_field(fields, 'born', '$', 0)
-    sequence = _number_field(fields, 'sequence', '$')
-    _string_field(fields, 'version', '$')
+    address = _name_field(fields, 'address', '$')
+    if not is_address(address, port_required=True):
+        raise _FieldError('$.address', 'is not an IP address with a port')
+    _name_field(fields, 'version', '$')
     return TargetRecord(
         target,
-        _string_field(fields, 'service', '$'),
+        _name_field(fields, 'service', '$'),
         address,
-        _string_field(fields, 'zone', '$'),
-        int(slots),
+        _name_field(fields, 'zone', '$'),
+        _integer_field(fields, 'slots', '$', _SLOTS),
         _STATE_BY_NAME[state],
-        _number_field(fields, 'warmup_left_s', '$'),
-        int(born),
+        max(0, _number_field(fields, 'warmup_left_s', '$', bounds=_WARMUP_S)),
+        _integer_field(fields, 'born', '$', default=0),
         position,
-        int(sequence),
+        _integer_field(fields, 'sequence', '$'),
     )
 
 
@@ -130,7 +149,7 @@
                 )
             ]
         )
-    except (DecodeError, ValueError) as error:
+    except _UNDECODABLE as error:
         message = f'cannot be decoded: {error}'
         return Err([Finding(CONFIGURATION_KEY, 0, '', message)])
     routes: list[RouteRule] = []
@@ -214,8 +233,8 @@
         _KIND_BY_ROUTE_TYPE.get(kind, UNSAFE),
         timeout_s,
         _number_field(spec, 'target_latency_s', path, timeout_s),
-        int(_number_field(spec, 'priority', path, 0)),
-        max(1, int(_number_field(spec, 'max_attempts', path, 1))),
+        _integer_field(spec, 'priority', path, default=0),
+        max(1, _integer_field(spec, 'max_attempts', path, default=1)),
         bool(spec.get('auth_exempt', False)),
         tuple(_decode_shares(spec, path)),
     )
@@ -244,9 +263,7 @@
     return Workspace(
         name,
         tuple(keys),
-        None
-        if priority is None
-        else int(_number_field(spec, 'priority', path)),
+        None if priority is None else _integer_field(spec, 'priority', path),
         _number_field(spec, 'rate_per_s', path, 0),
         _number_field(spec, 'burst', path, 0),
     )
@@ -255,10 +272,12 @@
 def _decode_limits(_name: str, spec: Fields, path: str) -> RequestLimits:
     defaults = RequestLimits()
     return RequestLimits(
-        int(
-            _number_field(spec, 'max_header_bytes', path, defaults.header_bytes)
+        _integer_field(
+            spec, 'max_header_bytes', path, default=defaults.header_bytes
+        ),
+        _integer_field(
+            spec, 'max_body_bytes', path, default=defaults.body_bytes
         ),
-        int(_number_field(spec, 'max_body_bytes', path, defaults.body_bytes)),
         _number_field(
             spec, 'header_timeout_s', path, defaults.header_timeout_s
         ),
@@ -275,8 +294,9 @@
 
 def _parse_version(document: Fields) -> int:
     version = _string_field(document, 'version', '$')
-    if not version.startswith('r') or not version[1:].isdigit():
-        raise _FieldError('$.version', f'{version!r} is not a valid version')
+    if not _VERSION.fullmatch(version):
+        shown = version[:_MAX_SHOWN]
+        raise _FieldError('$.version', f'{shown!r} is not a valid version')
     return int(version[1:])
 
 
@@ -300,10 +320,38 @@
     return value
 
 
+def _name_field(fields: Fields, name: str, path: str) -> str:
+    value = _string_field(fields, name, path)
+    if len(value) > _MAX_NAME_LENGTH:
+        raise _FieldError(f'{path}.{name}', 'is too long')
+    return value
+
+
 def _number_field(
-    fields: Fields, name: str, path: str, default: float | None = None
+    fields: Fields,
+    name: str,
+    path: str,
+    default: float | None = None,
+    *,
+    bounds: _Bounds = _NUMBER,
 ) -> float:
     value = fields.get(name, default)
     if isinstance(value, bool) or not isinstance(value, (int, float)):
         raise _FieldError(f'{path}.{name}', 'is missing or not a number')
+    if not bounds.least <= value <= bounds.most:
+        message = f'is not between {bounds.least} and {bounds.most}'
+        raise _FieldError(f'{path}.{name}', message)
     return value
+
+
+def _integer_field(
+    fields: Fields,
+    name: str,
+    path: str,
+    bounds: _Bounds = _NUMBER,
+    default: int | None = None,
+) -> int:
+    value = _number_field(fields, name, path, default, bounds=bounds)
+    if value != int(value):
+        raise _FieldError(f'{path}.{name}', 'is not a whole number')
+    return int(value)
--- a/oleanderridge/platform/store.py
+++ b/oleanderridge/platform/store.py
@@ -176,7 +176,7 @@
 def _decode_page(reply: Answer) -> Result[_Response, StoreFault]:
     try:
         fields = decode(reply.body)
-    except DecodeError as error:
+    except (DecodeError, RecursionError) as error:
         return Err(StoreFault(MALFORMED, str(error)))
     if not isinstance(fields, dict) or not isinstance(fields.get('at'), int):
         return Err(StoreFault(MALFORMED, 'the answer has no revision'))
