Send no attempt twice on one connection

Report of another operator: a faulty target wrote an earlier refusal once more on a kept connection, and callers were told 'not run' for a request that had run, or it ran at a second target.

Refusals of other requests are told by the attempt's id and skipped, in one packet, while the request runs, in pieces, twice, idle or behind the answer; four of these cases are new tests and passed before. The case that could happen here: two entries name one address, so that an attempt comes there twice, the second time on the connection that carried its first refusal. A copy of that refusal bears the right id; the order ran there, was taken for not run, and ran at another target as well (the last test of test_repeated_refusals.py failed: two runs).

Change: a request that was at an address before gets a new connection there.

--- a/oleanderridge/forward/gateway_progress.py
+++ b/oleanderridge/forward/gateway_progress.py
@@ -63,6 +63,7 @@
             timeout_s = min(timeout_s, terms.deadline_s - _RETURN_TIME_S)
         self.deadline = inbound.received_at + timeout_s
         self.sends: list[SendResult] = []
+        self.addresses: set[str] = set()
         self.in_flight = 0
         self.last_answer: Answer | None = None
         self.permit_refusal: Refused | None = None
--- a/oleanderridge/forward/gateway_request.py
+++ b/oleanderridge/forward/gateway_request.py
@@ -382,6 +382,10 @@
         idle_max_s = (
             math.inf if request.route.kind == SAFE else _UNSAFE_IDLE_MAX_S
         )
+        if grant.address in request.addresses:
+            # A second copy of the first answer would bear the right id.
+            idle_max_s = 0
+        request.addresses.add(grant.address)
         connection = await pool.take(grant.address, idle_max_s)
         attempt_id = request.terms.attempt_id
         answer = await connection.exchange(
--- a/oleanderridge/http1/connection_pool.py
+++ b/oleanderridge/http1/connection_pool.py
@@ -73,7 +73,7 @@
             if not connection.is_reusable(now):
                 connection.close()
                 continue
-            if now - connection.idle_since <= idle_max_s:
+            if now - connection.idle_since < idle_max_s:
                 return connection
             connection.close()
         try:
