Drop crashes of targets that answer later

Requests could be blocked for the path of one host: where connections are refused on the way, its connections break and new ones are refused, as if each target had ended. Found by reading; test_crash_evidence.py has the case, which failed.

An answer of the same target that is known 50 ms after its end refutes the end, for the request that it blocked as well. The record of crashes moves to a module of its own, since placement.py grew.

--- a/oleanderridge/dispatch/crash_evidence.py
+++ b/oleanderridge/dispatch/crash_evidence.py
@@ -25,6 +25,8 @@
 _TRIAL_S: Final = 5.0
 # Evidence is dropped this long after the last crash or the end of the block.
 _FORGET_S: Final = 600.0
+# An answer that is known this long after a target's end was made after it.
+_ANSWER_DELAY_S: Final = 0.05
 # Reports may misstate the order of events by this much.
 _REPORT_TOLERANCE_S: Final = 0.01
 # Hosts tell each other the crashes of this time, at most so many.
@@ -57,6 +59,14 @@
     blocked: list[BlockedRequest]
 
 
+class _TargetEnd:
+    """What is known of a target that seems to have ended."""
+
+    def __init__(self) -> None:
+        self.fingerprints: set[int] = set()
+        self.refuted_at = -math.inf
+
+
 class _Suspect:
     """What is known of one request."""
 
@@ -89,8 +99,7 @@
 
     def __init__(self) -> None:
         self._suspect_by_fingerprint: dict[int, _Suspect] = {}
-        # What each target had when it ended.
-        self._fingerprints_by_target: dict[tuple[str, int], set[int]] = {}
+        self._end_by_target: dict[tuple[str, int], _TargetEnd] = {}
 
     def record_crash(self, fingerprint: int, crash: Crash, now: float) -> bool:
         """Record a target that ended while it had a request.
@@ -112,7 +121,10 @@
         if fingerprint == UNKNOWN_REQUEST:
             return False
         instance = crash.target, crash.born_ms
-        self._fingerprints_at(instance).add(fingerprint)
+        end = self._end_of(instance)
+        if crash.ended <= end.refuted_at:
+            return False
+        end.fingerprints.add(fingerprint)
         suspect = self._suspect(fingerprint)
         known = {(each.target, each.born_ms) for each in suspect.crashes}
         if instance in known or crash.ended <= suspect.answered_at:
@@ -135,6 +147,29 @@
             suspect.answered_at = now
             suspect.block(-math.inf, -math.inf, 0)
 
+    def record_life(self, target: str, born_ms: int, now: float) -> None:
+        """Drop the crashes of a target that has answered since.
+
+        A host whose path to it is refused takes it for ended.
+
+        Parameters
+        ----------
+        target : str
+            Its id.
+        born_ms : int
+            Unix time of its start in milliseconds.
+        now : float
+            Monotonic seconds at which its answer is known.
+        """
+        end = self._end_by_target.get((target, born_ms))
+        if end is None:
+            return
+        for fingerprint in end.fingerprints:
+            suspect = self._suspect_by_fingerprint.get(fingerprint)
+            if suspect is not None:
+                self._drop_crash(suspect, (target, born_ms), now)
+        end.refuted_at = now - _ANSWER_DELAY_S
+
     def is_blocked(
         self, fingerprint: int, now: float, *, cautious: bool = False
     ) -> bool:
@@ -238,13 +273,13 @@
         count = 0
         share: float = 0
         last_ended = -math.inf
-        for crash in sorted(suspect.crashes, key=_end_of):
+        for crash in sorted(suspect.crashes, key=_time_of_end):
             if crash.started < last_ended - _REPORT_TOLERANCE_S:
                 continue
             count += 1
             last_ended = crash.ended
             instance = crash.target, crash.born_ms
-            blamed = self._fingerprints_by_target.get(instance, ())
+            blamed = self._end_of(instance).fingerprints
             share += 1 / max(1, len(blamed), crash.requests)
         if count >= _BLOCKING_CRASHES_SHARED:
             return True
@@ -260,15 +295,30 @@
                 del self._suspect_by_fingerprint[oldest]
         return suspect
 
-    def _fingerprints_at(self, instance: tuple[str, int]) -> set[int]:
-        known = self._fingerprints_by_target
-        fingerprints = known.setdefault(instance, set())
+    def _drop_crash(
+        self, suspect: _Suspect, instance: tuple[str, int], now: float
+    ) -> None:
+        suspect.crashes = [
+            crash
+            for crash in suspect.crashes
+            if (crash.target, crash.born_ms) != instance
+            or crash.ended > now - _ANSWER_DELAY_S
+        ]
+        if suspect.block_s and not self._is_guilty(suspect):
+            suspect.answered_at = now
+            suspect.block(-math.inf, -math.inf, 0)
+
+    def _end_of(self, instance: tuple[str, int]) -> _TargetEnd:
+        known = self._end_by_target
+        if instance not in known:
+            known[instance] = _TargetEnd()
+        end = known[instance]
         while len(known) > _MAX_TARGETS:
             del known[next(iter(known))]
-        return fingerprints
+        return end
 
 
-def _end_of(crash: Crash) -> float:
+def _time_of_end(crash: Crash) -> float:
     return crash.ended
 
 
--- a/oleanderridge/dispatch/placement.py
+++ b/oleanderridge/dispatch/placement.py
@@ -6,13 +6,13 @@
 
 from __future__ import annotations
 
-import logging
 from collections.abc import Collection, Iterable, Mapping
 from random import Random
 from typing import Any, Final
 
 from oleanderridge.admission.quota import FleetQuota
-from oleanderridge.dispatch.crash_evidence import Crash, CrashEvidence
+from oleanderridge.dispatch.crash_evidence import CrashEvidence
+from oleanderridge.dispatch.crash_reports import record_evidence
 from oleanderridge.dispatch.final_replies import FinalReplies
 from oleanderridge.dispatch.grants import build_grant
 from oleanderridge.dispatch.held_permits import HeldPermit, HeldPermits
@@ -49,9 +49,6 @@
     RetryUse,
 )
 from oleanderridge.generated.gateway import GatewaySettings
-from oleanderridge.telemetry.logs import log_event
-
-_LOGGER = logging.getLogger(__name__)
 
 RATE_EXCEEDED: Final = 'rate-exceeded'
 NO_TARGET: Final = 'no-target'
@@ -240,7 +237,7 @@
             return []
         service = self._service(attempt.service, now)
         self._take_notice(message, attempt, state, now)
-        self._record_evidence(message, state, now)
+        record_evidence(self.crash_evidence, message, state, now)
         if outcome in UNSENT:
             state.refund()
             if attempt.is_retry:
@@ -322,7 +319,7 @@
         )
         if state.record.born_ms == grant.born_ms:
             self._take_notice(message, attempt, state, now)
-            self._record_evidence(message, state, now)
+            record_evidence(self.crash_evidence, message, state, now)
         outcome, latency_s = Outcome(message.outcome), message.latency_ms / 1000
         state.end(attempt, outcome, latency_s, service.latencies_of, now)
 
@@ -412,30 +409,6 @@
             request.fingerprint, now, cautious=not self._leads
         )
 
-    def _record_evidence(
-        self, message: Release, state: TargetState, now: float
-    ) -> None:
-        evidence, fingerprint = self.crash_evidence, message.fingerprint
-        if message.outcome == Outcome.ANSWERED:
-            evidence.record_answer(fingerprint, now)
-        if not message.crashed:
-            return
-        state.failure_estimate.record_connect_failure(now)
-        started = now - message.latency_ms / 1000
-        record = state.record
-        requests = 1 + len(state.attempts)
-        crash = Crash(record.target, record.born_ms, started, now, requests)
-        if evidence.record_crash(fingerprint, crash, now):
-            log_event(
-                _LOGGER,
-                'request-blocked',
-                logging.WARNING,
-                fingerprint=f'{fingerprint:x}',
-                target=record.target,
-                service=record.service,
-                permit=message.permit,
-            )
-
     def _check_limits(
         self, request: Acquire, service: ServiceState, now: float
     ) -> Refused | None:
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -111,6 +111,23 @@
     assert not world.is_blocked()
 
 
+def test_a_host_whose_path_is_refused_blames_no_request():
+    """Guards against refusing requests for targets that go on answering."""
+    world, other = _World(), _World()
+    world.crash(_DEADLY)
+    world.crash(_DEADLY)
+    assert world.is_blocked()
+    other.evidence.merge(world.evidence.news(world.now), world.now)
+    # An answer on its way tells nothing, a later one does.
+    world.evidence.record_life('t2', 1, world.now + 0.01)
+    assert world.is_blocked()
+    world.now += 0.2
+    world.evidence.record_life('t2', 1, world.now)
+    assert not world.is_blocked()
+    world.evidence.merge(other.evidence.news(world.now), world.now)
+    assert not world.is_blocked()
+
+
 def test_a_block_is_followed_by_one_trial_and_a_longer_block():
     """Guards against a flood of sends when a block ends."""
     world = _World()
@@ -190,7 +207,7 @@
         world.crash(fingerprint, ran_s=0.001)
     evidence = world.evidence
     assert len(evidence._suspect_by_fingerprint) <= 4096
-    assert len(evidence._fingerprints_by_target) <= 1024
+    assert len(evidence._end_by_target) <= 1024
     news = evidence.news(world.now)
     assert len(news.crashes) <= 16
     world.now += 700
