--- a/oleanderridge/gateway/fleet_sync.py
+++ b/oleanderridge/gateway/fleet_sync.py
@@ -13,17 +13,10 @@
 
 from oleanderridge.dispatch.crash_evidence import CrashNews
 from oleanderridge.gateway.beliefs import Beliefs
-from oleanderridge.gateway.model import DRAINING
 from oleanderridge.gateway.packing import pack, unpack
 from oleanderridge.gateway.peers import Datagrams, fetch_sync
-from oleanderridge.gateway.store_position import NO_POSITION, StorePosition
-from oleanderridge.gateway.target_table import TargetChanges
-from oleanderridge.gateway.target_wire import (
-    record_from_entry,
-    record_to_entry,
-    removal_from_entry,
-    removal_to_entry,
-)
+from oleanderridge.gateway.store_position import StorePosition
+from oleanderridge.gateway.target_sync import apply_targets, targets_reply
 from oleanderridge.generated.fleet import (
     Beat,
     RetryUse,
@@ -227,27 +220,8 @@
     def answer_sync(self, request: SyncRequest) -> SyncReply:
         """Return the state that another host is missing."""
         now = _now()
-        table = self._beliefs.table
-        known = StorePosition(request.store_era, request.targets_revision)
-        same_era = known.era == table.position.era
-        whole = not same_era or known >= table.position or not known.revision
-        if same_era and request.targets_digest == table.digest:
-            changes, whole = TargetChanges([], {}), False
-        else:
-            changes = table.since(NO_POSITION if whole else known)
-        reply = SyncReply(
-            b'',
-            table.position.revision,
-            whole,
-            [record_to_entry(record) for record in changes.records],
-            [] if whole else list(changes.removed),
-            [],
-            self._beliefs.age_ms(now),
-            store_era=table.position.era,
-            removals=[
-                removal_to_entry(target, tombstone)
-                for target, tombstone in changes.removed.items()
-            ],
+        reply = targets_reply(
+            self._beliefs.table, request, self._beliefs.age_ms(now)
         )
         self._add_config(reply, request)
         if request.members_digest != self._roster.digest(now):
@@ -468,7 +442,10 @@
         reply = fetched.ok_value
         now = _now()
         self._apply_members(host, reply, now)
-        self._apply_targets(reply, now)
+        before = self._beliefs.table.digest
+        apply_targets(self._beliefs.table, reply, now + self._return_grace_s)
+        if self._beliefs.table.digest != before:
+            self._beliefs.on_targets()
         self._apply_config(host, reply)
         if not reply.config_withheld:
             self._beliefs.confirm(now - reply.store_age_ms / 1000)
@@ -551,31 +528,6 @@
             # Changes alone don't lead to the leader's list: ask for all of it.
             self._known_members = _KnownMembers('', 0, 0)
 
-    def _apply_targets(self, reply: SyncReply, now: float) -> None:
-        table = self._beliefs.table
-        records = [record_from_entry(entry) for entry in reply.targets]
-        position = StorePosition(reply.store_era, reply.targets_revision)
-        before = table.digest
-        if reply.whole:
-            former = table.position
-            restored = former != NO_POSITION and position.era > former.era
-            for target in table.replace(records, position):
-                if restored and table.by_id[target].state != DRAINING:
-                    until = now + self._return_grace_s
-                    table.postpone_removal(target, position, until)
-                else:
-                    table.remove(target, position)
-        else:
-            for record in records:
-                table.put(record)
-            for target in reply.removed:
-                table.remove(target, position)
-            table.advance(position)
-        for entry in reply.removals:
-            table.merge_removal(*removal_from_entry(entry))
-        if table.digest != before:
-            self._beliefs.on_targets()
-
 
 def _position_of(beat: Beat) -> StorePosition:
     return StorePosition(beat.store_era, beat.targets_revision)
--- a/oleanderridge/gateway/gateway_metrics.py
+++ b/oleanderridge/gateway/gateway_metrics.py
@@ -43,6 +43,9 @@
         self.store_age = self._gauge(
             'store_word_age_seconds', "Age of the store's last word."
         )
+        self.store_era = self._gauge(
+            'store_era', 'Rises when the store returns from an older copy.'
+        )
         self.store_calls = self._gauge('store_calls', 'Calls to the store.')
         self.hosts_alive = self._gauge('hosts_alive', 'Hosts that are heard.')
 
--- a/oleanderridge/gateway/process.py
+++ b/oleanderridge/gateway/process.py
@@ -382,6 +382,8 @@
             self._pool.sweep()
             self._reload.read_if_changed()
             self._metrics.store_age.set({}, self._beliefs.age_ms(now) / 1000)
+            era = self._beliefs.table.position.era
+            self._metrics.store_era.set({}, era)
             self._metrics.store_calls.set({}, self._store.calls)
             self._metrics.hosts_alive.set({}, len(self._roster.alive(now)))
             await asyncio.sleep(_MAINTENANCE_INTERVAL_S)
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -9,6 +9,7 @@
 from oleanderridge.gateway.beliefs import Beliefs
 from oleanderridge.gateway.fleet_sync import FleetSync
 from oleanderridge.gateway.outcomes import Outcome
+from oleanderridge.gateway.target_sync import apply_targets
 from oleanderridge.generated.fleet import SyncRequest
 from oleanderridge.membership.roster import Roster
 from tests.followed_store import entry, run_followed
@@ -220,7 +221,8 @@
             0,
             store_era=table.position.era,
         )
-        sync._apply_targets(other.answer_sync(request), 100)
+        grace_s = gateway_settings()['store']['return_grace_s']
+        apply_targets(table, other.answer_sync(request), 100 + grace_s)
 
     asyncio.run(fetch_once())
 
