--- a/tests/test_gateway_fleet.py
+++ b/tests/test_gateway_fleet.py
@@ -68,7 +68,7 @@
         self.session = None
         self._attempts = 0
 
-    def register_target(self, target, state='ready', service='s'):
+    def register_target(self, target, state='ready', service='s', sequence=1):
         """Write the registration of a target to the store."""
         self.store.set_value(
             f'servers/{target.target}',
@@ -81,7 +81,7 @@
                     'slots': 2,
                     'state': state,
                     'warmup_left_s': 0,
-                    'sequence': 1,
+                    'sequence': sequence,
                     'born': 5,
                 }
             ).encode(),
@@ -273,6 +273,38 @@
     _run(scenario, tmp_path, ports)
 
 
+def test_a_store_restored_from_a_copy_brings_nothing_back(tmp_path, ports):
+    """Guards against hosts that trust a copy or miss what follows it."""
+
+    async def scenario(fleet):
+        copy = fleet.store.copy()
+        for version in range(2, 9):
+            fleet.store.set_value('op/config', _document(f'r{version}', 'k2'))
+        fleet.register_target(fleet.targets[0], 'draining', sequence=2)
+        await asyncio.sleep(1.0)
+        fleet.store.set_mode('down')
+        await asyncio.sleep(0.3)
+        fleet.store.restore(copy)
+        fleet.store.set_mode('up')
+        await asyncio.sleep(1.0)
+        runs = len(fleet.targets[0].runs)
+        for index in range(12):
+            host = _HOSTS[index % 3]
+            assert (await fleet.send(host, key='k1'))[0] == 401
+            assert (await fleet.send(host, key='k2'))[0] == 200
+        assert len(fleet.targets[0].runs) == runs
+        fleet.store.set_value('op/config', _document('r9', 'k3'))
+        await asyncio.sleep(1.5)
+        for host in _HOSTS:
+            assert (await fleet.send(host, key='k2'))[0] == 401
+            assert (await fleet.send(host, key='k3'))[0] == 200
+        calls = sum(fleet.store.calls.values())
+        await asyncio.sleep(1.0)
+        assert sum(fleet.store.calls.values()) - calls < 10
+
+    _run(scenario, tmp_path, ports)
+
+
 def test_orders_run_once_while_targets_hang_and_shed(tmp_path, ports):
     """Guards against a non-idempotent request that is executed twice."""
 
