--- a/tests/test_gateway_fleet.py
+++ b/tests/test_gateway_fleet.py
@@ -4,13 +4,14 @@
 import json
 import signal
 import sys
-from contextlib import asynccontextmanager
+from contextlib import AsyncExitStack, asynccontextmanager
 
 import pytest
 from aiohttp import ClientError, ClientSession, ClientTimeout, web
 
 from bench import platform
 from bench.slot_target import SlotTarget
+from tests.stub_target import StubTarget
 
 _HOSTS = ('127.0.0.11', '127.0.0.12', '127.0.0.13')
 _SETTINGS = """\
@@ -305,6 +306,50 @@
     _run(scenario, tmp_path, ports)
 
 
+def test_a_request_that_crashes_targets_is_known_after_the_leader(
+    tmp_path, ports
+):
+    """Guards against one request that ends target after target."""
+
+    async def scenario(fleet):
+        crashed = []
+
+        async def serve(target, reader, writer, _connection):
+            await target.read_request(reader)
+            await asyncio.sleep(0.02)
+            crashed.append(target)
+            target._server.close()
+            writer.transport.abort()
+
+        async with AsyncExitStack() as stack:
+            for place in range(8):
+                target = await stack.enter_async_context(StubTarget(serve))
+                target.target = f'i-deadly-{place}'
+                fleet.register_target(target, service='deadly')
+            fleet.store.set_value(
+                'op/config', _document('r2', service='deadly')
+            )
+            await asyncio.sleep(1.0)
+            for _ in range(3):
+                for host in _HOSTS:
+                    status, _, headers = await fleet.send(host, '/s/deadly')
+                    assert status == 502
+                    assert 'Retry-After' not in headers
+            assert 1 <= len(crashed) <= 3
+            before = len(crashed)
+            # The oldest host leads.
+            leader = fleet.processes[_HOSTS[0]]
+            leader.kill()
+            await leader.wait()
+            await asyncio.sleep(2)
+            for _ in range(4):
+                for host in _HOSTS[1:]:
+                    assert (await fleet.send(host, '/s/deadly'))[0] == 502
+            assert len(crashed) <= before + 1
+
+    _run(scenario, tmp_path, ports)
+
+
 def test_orders_run_once_while_targets_hang_and_shed(tmp_path, ports):
     """Guards against a non-idempotent request that is executed twice."""
 
