--- a/oleanderridge/gateway/fleet_sync.py
+++ b/oleanderridge/gateway/fleet_sync.py
@@ -447,7 +447,12 @@
         if self._beliefs.table.digest != before:
             self._beliefs.on_targets()
         self._apply_config(host, reply)
-        if not reply.config_withheld:
+        # A document that could not be read leaves the version as it was.
+        is_behind = reply.config_withheld or (
+            bool(reply.config)
+            and self._beliefs.version() == request.config_version
+        )
+        if not is_behind:
             self._beliefs.confirm(now - reply.store_age_ms / 1000)
 
     def _apply_config(self, host: str, reply: SyncReply) -> None:
--- a/tests/test_config_sync.py
+++ b/tests/test_config_sync.py
@@ -163,3 +163,19 @@
 def test_a_document_that_cannot_be_unpacked_changes_nothing(packed):
     """Guards against memory or errors for what another host sends."""
     assert unpack(packed).is_err()
+
+
+@pytest.mark.parametrize('packed', [True, False])
+def test_a_document_that_cannot_be_read_confirms_nothing(packed):
+    """Guards against a host without the newest version that seems current."""
+    sender, receiver = _sync(), _sync('127.0.0.2')
+
+    async def scenario():
+        now = asyncio.get_running_loop().time()
+        sender._beliefs.confirm(now)
+        reply = sender.answer_sync(_request())
+        reply.config, reply.config_packed = b'{"version": 9}', packed
+        await _apply(receiver, reply)
+        return receiver._beliefs.age_ms(now)
+
+    assert asyncio.run(scenario()) > 60_000
