--- a/oleanderridge/dispatch/crash_evidence.py
+++ b/oleanderridge/dispatch/crash_evidence.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from collections import deque
 from typing import Final, NamedTuple
 
 from oleanderridge.generated.fleet import BlockedRequest, CrashReport
@@ -25,6 +26,7 @@
 _TRIAL_S: Final = 5.0
 # Evidence is dropped this long after the last crash or the end of the block.
 _FORGET_S: Final = 600.0
+_EXPIRE_INTERVAL_S: Final = 1.0
 # An answer that is known this long after a target's end was made after it.
 _ANSWER_DELAY_S: Final = 0.05
 # Reports may misstate the order of events by this much.
@@ -100,6 +102,9 @@
     def __init__(self) -> None:
         self._suspect_by_fingerprint: dict[int, _Suspect] = {}
         self._end_by_target: dict[tuple[str, int], _TargetEnd] = {}
+        self._recent: deque[tuple[int, Crash]] = deque(maxlen=_MAX_REPORTS)
+        self._blocked: dict[int, _Suspect] = {}
+        self._expires_at: float = 0
 
     def record_crash(self, fingerprint: int, crash: Crash, now: float) -> bool:
         """Record a target that ended while it had a request.
@@ -130,10 +135,12 @@
         if instance in known or crash.ended <= suspect.answered_at:
             return False
         suspect.crashes.append(crash)
+        self._recent.append((fingerprint, crash))
         del suspect.crashes[:-_MAX_CRASHES]
         suspect.forget_at = max(suspect.forget_at, now + _FORGET_S)
         if not self._block_if_guilty(suspect, now):
             return False
+        self._blocked[fingerprint] = suspect
         # The oldest suspects are forgotten first when there are too many.
         del self._suspect_by_fingerprint[fingerprint]
         self._suspect_by_fingerprint[fingerprint] = suspect
@@ -205,11 +212,16 @@
 
     def news(self, now: float) -> CrashNews:
         """Return what other hosts may not know yet."""
+        self._blocked = {
+            fingerprint: suspect
+            for fingerprint, suspect in self._blocked.items()
+            if now < suspect.blocked_until
+        }
         crashes = [
-            (fingerprint, crash)
-            for fingerprint, suspect in self._suspect_by_fingerprint.items()
-            for crash in suspect.crashes
+            _to_report(fingerprint, crash, now)
+            for fingerprint, crash in self._recent
             if now - crash.ended < _REPORTED_S
+            and crash in self._crashes_of(fingerprint)
         ]
         blocked = [
             BlockedRequest(
@@ -218,16 +230,9 @@
                 _to_ms(suspect.blocked_until - now),
                 _to_ms(suspect.block_s),
             )
-            for fingerprint, suspect in self._suspect_by_fingerprint.items()
-            if now < suspect.blocked_until
+            for fingerprint, suspect in self._blocked.items()
         ]
-        return CrashNews(
-            [
-                _to_report(fingerprint, crash, now)
-                for fingerprint, crash in crashes[-_MAX_REPORTS:]
-            ],
-            blocked[-_MAX_BLOCKED_REPORTED:],
-        )
+        return CrashNews(crashes, blocked[-_MAX_BLOCKED_REPORTED:])
 
     def merge(self, news: CrashNews, now: float) -> None:
         """Adopt what another host knows."""
@@ -245,9 +250,13 @@
             known_until = max(suspect.answered_at, suspect.blocked_until)
             if blocked_at > suspect.answered_at and until > known_until:
                 suspect.block(blocked_at, until, block.block_ms / _MS)
+                self._blocked[block.fingerprint] = suspect
 
     def expire(self, now: float) -> None:
         """Forget requests of which nothing was heard for long."""
+        if now < self._expires_at:
+            return
+        self._expires_at = now + _EXPIRE_INTERVAL_S
         forgotten = [
             fingerprint
             for fingerprint, suspect in self._suspect_by_fingerprint.items()
@@ -285,6 +294,10 @@
             return True
         return count >= _BLOCKING_CRASHES and share >= _BLOCKING_SHARE
 
+    def _crashes_of(self, fingerprint: int) -> list[Crash]:
+        suspect = self._suspect_by_fingerprint.get(fingerprint)
+        return [] if suspect is None else suspect.crashes
+
     def _suspect(self, fingerprint: int) -> _Suspect:
         suspect = self._suspect_by_fingerprint.get(fingerprint)
         if suspect is None:
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -299,3 +299,27 @@
     _end_target(world, _deadly(world))
     refused = _deadly(world, purpose=Purpose.REPEAT)
     assert refused.reason == CRASHES_TARGETS
+
+
+def test_evidence_costs_little_for_each_heartbeat():
+    """Guards against a leader that looks at all suspects for each heartbeat."""
+    world = _World()
+    for fingerprint in range(1, 4000):
+        world.crash(fingerprint, ran_s=0.0001)
+    world.now += 5
+    looks = []
+
+    class Counting(dict):
+        def items(self):
+            looks.append(len(self))
+            return super().items()
+
+    evidence = world.evidence
+    evidence._suspect_by_fingerprint = Counting(
+        evidence._suspect_by_fingerprint
+    )
+    for _ in range(50):
+        world.now += 0.01
+        evidence.news(world.now)
+        evidence.expire(world.now)
+    assert len(looks) <= 1
