Let a refused host know what crashes targets

The leader was killed within 0.35 s of the block, before a heartbeat had told anybody. A host that is refused now keeps the block itself, for 10 s; it tells nobody, since each refusal would then prolong the block. Two tests, the first of which failed.

--- a/oleanderridge/dispatch/crash_evidence.py
+++ b/oleanderridge/dispatch/crash_evidence.py
@@ -177,6 +177,25 @@
                 self._drop_crash(suspect, (target, born_ms), now)
         end.refuted_at = now - _ANSWER_DELAY_S
 
+    def record_refusal(self, fingerprint: int, now: float) -> None:
+        """Record that another host refuses a request that crashes targets.
+
+        That host may end before its heartbeat tells so. Other hosts are not
+        told, since each refusal would then prolong the block.
+
+        Parameters
+        ----------
+        fingerprint : int
+            Fingerprint of the request.
+        now : float
+            Monotonic seconds.
+        """
+        if fingerprint == UNKNOWN_REQUEST:
+            return
+        suspect = self._suspect(fingerprint)
+        if now >= suspect.blocked_until:
+            suspect.block(now, now + _FIRST_BLOCK_S, _FIRST_BLOCK_S)
+
     def is_blocked(
         self, fingerprint: int, now: float, *, cautious: bool = False
     ) -> bool:
--- a/oleanderridge/dispatch/permit_client.py
+++ b/oleanderridge/dispatch/permit_client.py
@@ -10,7 +10,11 @@
 from typing import Final, NamedTuple
 
 from oleanderridge.dispatch.crash_evidence import UNKNOWN_REQUEST
-from oleanderridge.dispatch.placement import NO_TARGET, Placement
+from oleanderridge.dispatch.placement import (
+    CRASHES_TARGETS,
+    NO_TARGET,
+    Placement,
+)
 from oleanderridge.dispatch.target_notices import limit_to_milli
 from oleanderridge.gateway.compact import Compact
 from oleanderridge.gateway.model import NO_NOTICE, TargetNotice
@@ -196,8 +200,11 @@
             self._acknowledged.discard(request.permit)
         if isinstance(reply, Grant):
             return reply
-        self._issuer_by_permit.pop(request.permit, None)
+        issuer = self._issuer_by_permit.pop(request.permit, None)
         if isinstance(reply, Refused):
+            if reply.reason == CRASHES_TARGETS and issuer != self._host:
+                evidence = self._placement.crash_evidence
+                evidence.record_refusal(request.fingerprint, self._now())
             return reply
         self._withdraw(request, leader)
         return Refused(request.permit, NO_TARGET, 100)
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -190,6 +190,22 @@
     assert not fresh.is_blocked()
 
 
+def test_refusals_of_others_prolong_no_block():
+    """Guards against a block that each refused request makes longer."""
+    leader, host = _World(), _World()
+    leader.crash(_DEADLY)
+    leader.crash(_DEADLY)
+    for _ in range(9):
+        leader.now += 1
+        host.now = leader.now
+        assert leader.is_blocked()
+        host.evidence.record_refusal(_DEADLY, host.now)
+        leader.evidence.merge(host.evidence.news(host.now), leader.now)
+    assert host.is_blocked()
+    leader.now += 1.1
+    assert not leader.is_blocked()
+
+
 def test_a_request_that_is_not_known_is_never_blocked():
     """Guards against hosts of before, which state no fingerprint."""
     world = _World()
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -92,13 +92,14 @@
         else:
             placement.release(message, _now())
 
-    def change_leader(self, host):
-        """Let another host lead, which has heard the leader's heartbeats."""
+    def change_leader(self, host, *, has_heard=True):
+        """Let another host lead, with or without the leader's last news."""
         news = self._placements[self._leader].crash_evidence.news(_now())
         self._leader = host
         for each, placement in self._placements.items():
             placement.set_fleet_share(1, leads=each == host)
-        self._placements[host].crash_evidence.merge(news, _now())
+        if has_heard:
+            self._placements[host].crash_evidence.merge(news, _now())
 
     async def send(self, place, path=b'/a/deadly', attempt='a1'):
         """Send a request to a host and return its reply."""
@@ -175,14 +176,18 @@
     _play(kind, scenario)
 
 
-def test_a_deadly_request_is_known_to_the_next_leader():
-    """Guards against a leader's end that forgets what crashes targets."""
+@pytest.mark.parametrize('has_heard', [True, False])
+def test_a_deadly_request_is_known_to_the_next_leader(has_heard):
+    """Guards against a leader's end that forgets what crashes targets.
+
+    A host that has been refused knows it even if the leader ends at once.
+    """
 
     async def scenario(fleet):
         for place in range(3):
             await fleet.send(place, attempt=f'a{place}')
         crashes = _crashes(fleet)
-        fleet.change_leader('10.1.0.2')
+        fleet.change_leader('10.1.0.2', has_heard=has_heard)
         for place in range(6):
             await fleet.send(place, attempt=f'b{place}')
         assert _crashes(fleet) == crashes <= 3
