Pass on a whole request in the test of slow links

The test passed on the 12 bytes that a request had; with the era it has 13, so that the server waited for the last one. It now passes on a frame by its length; what it checks is as before.

--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -129,7 +129,9 @@
             from_host, to_host = await asyncio.open_connection(
                 '127.0.0.1', port
             )
-            to_host.write(await reader.readexactly(12))
+            head = await reader.readexactly(4)
+            request = await reader.readexactly(int.from_bytes(head, 'big'))
+            to_host.write(head + request)
             while piece := await from_host.read(32768):
                 await asyncio.sleep(0.1)
                 writer.write(piece)
