--- a/oleanderridge/dispatch/crash_evidence.py
+++ b/oleanderridge/dispatch/crash_evidence.py
@@ -154,7 +154,9 @@
             suspect.answered_at = now
             suspect.block(-math.inf, -math.inf, 0)
 
-    def record_life(self, target: str, born_ms: int, now: float) -> None:
+    def record_target_answer(
+        self, target: str, born_ms: int, now: float
+    ) -> None:
         """Drop the crashes of a target that has answered since.
 
         A host whose path to it is refused takes it for ended.
--- a/oleanderridge/dispatch/crash_reports.py
+++ b/oleanderridge/dispatch/crash_reports.py
@@ -32,7 +32,7 @@
     record, fingerprint = state.record, message.fingerprint
     if message.outcome == Outcome.ANSWERED:
         evidence.record_answer(fingerprint, now)
-        evidence.record_life(record.target, record.born_ms, now)
+        evidence.record_target_answer(record.target, record.born_ms, now)
     if not message.crashed:
         return
     state.failure_estimate.record_connect_failure(now)
--- a/oleanderridge/gateway/target_table.py
+++ b/oleanderridge/gateway/target_table.py
@@ -252,7 +252,7 @@
         Parameters
         ----------
         position : StorePosition
-            Position that the requester has; ``NO_POSITION`` for everything.
+            Position that the asking host has; ``NO_POSITION`` for everything.
 
         Returns
         -------
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -119,10 +119,10 @@
     assert world.is_blocked()
     other.evidence.merge(world.evidence.news(world.now), world.now)
     # An answer on its way tells nothing, a later one does.
-    world.evidence.record_life('t2', 1, world.now + 0.01)
+    world.evidence.record_target_answer('t2', 1, world.now + 0.01)
     assert world.is_blocked()
     world.now += 0.2
-    world.evidence.record_life('t2', 1, world.now)
+    world.evidence.record_target_answer('t2', 1, world.now)
     assert not world.is_blocked()
     world.evidence.merge(other.evidence.news(world.now), world.now)
     assert not world.is_blocked()
