--- a/review/2/case.py
+++ b/review/2/case.py
@@ -44,9 +44,7 @@
         )
         await upstream.start(store, 1.5)
     seeds = [f'{place.address}:1' for place in places]
-    fleet = Fleet(
-        folder, store.address, places, seeds, dict(BOUNDS_OF_SITE)
-    )
+    fleet = Fleet(folder, store.address, places, seeds, dict(BOUNDS_OF_SITE))
     try:
         await fleet.start_all()
         await fleet.until_known(len(places))
@@ -64,7 +62,9 @@
     count = round((LAST_AT_S - FIRST_AT_S) / GAP_S) + 1
     tasks = [
         asyncio.create_task(
-            _order(record, host.front, index, stop_at + FIRST_AT_S + index * GAP_S)
+            _order(
+                record, host.front, index, stop_at + FIRST_AT_S + index * GAP_S
+            )
         )
         for index in range(count)
     ]
@@ -98,9 +98,7 @@
     return bool(lost)
 
 
-async def _order(
-    record: Record, front: str, index: int, at: float
-) -> Exchange:
+async def _order(record: Record, front: str, index: int, at: float) -> Exchange:
     await asyncio.sleep(at - time.monotonic())
     attempt = f'order-{index}'
     asked = request(
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -43,9 +43,7 @@
         )
         await upstream.start(store, 1.5)
     seeds = [f'{place.address}:1' for place in places]
-    fleet = Fleet(
-        folder, store.address, places, seeds, dict(BOUNDS_OF_SITE)
-    )
+    fleet = Fleet(folder, store.address, places, seeds, dict(BOUNDS_OF_SITE))
     try:
         await fleet.start_all()
         await fleet.until_known(len(places))
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -32,9 +32,9 @@
 DEADLINE_S = 1.0
 WORK_S = 0.02
 WINDOW_S = BOUNDS['quota_window_s']
-MOST = (RATE_PER_S * WINDOW_S + BURST) * (
-    1 + BOUNDS['quota_overage']
-) + BOUNDS['quota_slack']
+MOST = (RATE_PER_S * WINDOW_S + BURST) * (1 + BOUNDS['quota_overage']) + BOUNDS[
+    'quota_slack'
+]
 
 
 async def play(record: Record, folder: Path, trouble: bool) -> bool:
@@ -96,8 +96,7 @@
     sent_at: dict[str, float] = {}
     begin_at = time.monotonic() + 0.5
     told = [
-        await fleet.resolve(place.address, place.zone)
-        for place in fleet.places
+        await fleet.resolve(place.address, place.zone) for place in fleet.places
     ]
     counts = sorted({len(addresses) for addresses, _ in told})
     record.note(f'hosts that the directories name: {counts}')
--- a/review/standins/bridge.py
+++ b/review/standins/bridge.py
@@ -30,8 +30,9 @@
     def __init__(
         self, first: list[str], second: list[str], ports: tuple[int, int]
     ) -> None:
-        # Whether what the first part sends is lost, and what the second does.
-        self.is_cut = [False, False]
+        # Set while what the first part sends arrives, and the second.
+        self._arrives = [asyncio.Event(), asyncio.Event()]
+        self.cut()
         self._parts = (first, second)
         self._ports = ports
         self._sockets: list[socket.socket] = []
@@ -48,7 +49,11 @@
 
     def cut(self, *parts: int) -> None:
         """Lose what these parts send, and nothing else."""
-        self.is_cut = [part in parts for part in (0, 1)]
+        for part, arrives in enumerate(self._arrives):
+            if part in parts:
+                arrives.clear()
+            else:
+                arrives.set()
 
     def stop(self) -> None:
         """Close all sockets."""
@@ -85,7 +90,7 @@
         with contextlib.suppress(BlockingIOError):
             while True:
                 content, origin = opened.recvfrom(_PIECE_BYTES)
-                if not self.is_cut[sender]:
+                if self._arrives[sender].is_set():
                     with contextlib.suppress(OSError):
                         self._sender(origin[0]).sendto(content, far)
 
@@ -119,8 +124,7 @@
         sender: int,
     ) -> None:
         while piece := await reader.read(_PIECE_BYTES):
-            while self.is_cut[sender]:
-                await asyncio.sleep(0.05)
+            await self._arrives[sender].wait()
             writer.write(piece)
             await writer.drain()
         with contextlib.suppress(OSError):
--- a/review/standins/link.py
+++ b/review/standins/link.py
@@ -46,9 +46,7 @@
         far = socket.socket()
         # As on an Ethernet link, not as on the loopback interface.
         far.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, _WINDOW_BYTES)
-        far.setsockopt(
-            socket.IPPROTO_TCP, socket.TCP_MAXSEG, _SEGMENT_BYTES
-        )
+        far.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, _SEGMENT_BYTES)
         far.setblocking(False)
         tasks = []
         try:
--- a/review/standins/store.py
+++ b/review/standins/store.py
@@ -94,9 +94,7 @@
 
     def _page(self, prefix: str, after: str) -> dict:
         keys = sorted(
-            key
-            for key in self._items
-            if key.startswith(prefix) and key > after
+            key for key in self._items if key.startswith(prefix) and key > after
         )
         return {
             'items': [
