Log what is left when a stopping host ends

Whether a request was running, waiting for a slot or answered but not sent on could not be told apart.

Ruled out: a metric. The process ends before it is read again.

Change: drain-ended names live requests, open connections and unsent bytes; request-interrupted names each request that ends with the host, and whether a target has it.

Measured: no change of behaviour; tests/test_gateway_request.py test_requests_that_a_stop_interrupts_are_logged fails without the line.

--- a/oleanderridge/forward/gateway_logs.py
+++ b/oleanderridge/forward/gateway_logs.py
@@ -146,6 +146,29 @@
     log_event(_LOGGER, 'request-ended', level, **fields)
 
 
+def log_unfinished(request: RequestProgress, now: float) -> None:
+    """Log a request that ends with its host, without an answer.
+
+    Parameters
+    ----------
+    request : RequestProgress
+        The request.
+    now : float
+        Loop time in seconds.
+    """
+    log_event(
+        _LOGGER,
+        'request-interrupted',
+        logging.ERROR,
+        id=request.terms.attempt_id,
+        kind=request.route.kind,
+        ms=round((now - request.inbound.received_at) * 1000),
+        left_ms=round((request.deadline - now) * 1000),
+        sends=len(request.sends),
+        in_flight=request.in_flight,
+    )
+
+
 def _stated_limit(notice: TargetNotice) -> float | None:
     limit_per_s = notice.limit_per_s
     return None if limit_per_s == math.inf else limit_per_s
--- a/oleanderridge/forward/gateway_request.py
+++ b/oleanderridge/forward/gateway_request.py
@@ -23,7 +23,12 @@
     may_forward,
     refusal_result,
 )
-from oleanderridge.forward.gateway_logs import log_end, log_refusal, log_send
+from oleanderridge.forward.gateway_logs import (
+    log_end,
+    log_refusal,
+    log_send,
+    log_unfinished,
+)
 from oleanderridge.forward.gateway_progress import (
     ActiveSend,
     RequestProgress,
@@ -114,6 +119,7 @@
     def __init__(self, ports: GatewayForwarderCallbacks) -> None:
         self._ports = ports
         self._shares = ShareCounter(ports.rng)
+        self._live: set[RequestProgress] = set()
 
     async def handle(self, inbound: Inbound) -> Reply:
         """Return the reply to a request.
@@ -137,14 +143,11 @@
             log_refusal(inbound, terms, prepared, version)
             self._ports.on_ended('', prepared.reason, 'none', 0)
             return prepared.reply
-        task = asyncio.ensure_future(self._run(prepared))
-        await asyncio.wait(
-            (task, inbound.gone), return_when=asyncio.FIRST_COMPLETED
-        )
-        if task.done():
-            result = task.result()
-        else:
-            result = await self._on_caller_left(prepared, task)
+        self._live.add(prepared)
+        try:
+            result = await self._result_of(prepared)
+        finally:
+            self._live.discard(prepared)
         duration_s = _now() - inbound.received_at
         log_end(prepared, result, duration_s, self._ports.permits.leader())
         self._ports.on_ended(
@@ -152,6 +155,21 @@
         )
         return result.reply
 
+    def log_unfinished(self) -> None:
+        """Log the requests that the end of this host interrupts."""
+        now = _now()
+        for request in self._live:
+            log_unfinished(request, now)
+
+    async def _result_of(self, request: RequestProgress) -> RequestResult:
+        task = asyncio.ensure_future(self._run(request))
+        await asyncio.wait(
+            (task, request.inbound.gone), return_when=asyncio.FIRST_COMPLETED
+        )
+        if task.done():
+            return task.result()
+        return await self._on_caller_left(request, task)
+
     def _prepare(
         self, inbound: Inbound, terms: CallerTerms
     ) -> RequestProgress | RequestResult:
--- a/oleanderridge/gateway/process.py
+++ b/oleanderridge/gateway/process.py
@@ -125,8 +125,8 @@
         self._limits.buffered_bytes_max = int(
             settings['bounds']['memory_mb'] * _MEGABYTE * _BUFFER_FRACTION
         )
-        forwarder = GatewayForwarder(self._forwarder_ports())
-        self._callers = Edge(forwarder.handle, self._limits)
+        self._forwarder = GatewayForwarder(self._forwarder_ports())
+        self._callers = Edge(self._forwarder.handle, self._limits)
         pages = PublicPages(
             settings,
             self._roster,
@@ -412,6 +412,16 @@
         end_at = began + _DRAIN_FRACTION * stop_s
         while self._callers.live() and _now() < end_at:  # noqa: ASYNC110
             await asyncio.sleep(_TICK_INTERVAL_S)
+        log_event(
+            _LOGGER,
+            'drain-ended',
+            logging.INFO,
+            ms=round((_now() - began) * 1000),
+            live=self._callers.live(),
+            connections=len(self._callers.connections),
+            unsent_bytes=self._callers.unsent_bytes(),
+        )
+        self._forwarder.log_unfinished()
         for task in tuple(self._tasks):
             task.cancel()
         self._pool.close()
--- a/oleanderridge/http1/server.py
+++ b/oleanderridge/http1/server.py
@@ -105,6 +105,10 @@
             if connection.has_active_request()
         )
 
+    def unsent_bytes(self) -> int:
+        """Return the bytes of responses that the kernel has not taken."""
+        return sum(connection.unsent_bytes() for connection in self.connections)
+
 
 class CallerConnection(asyncio.Protocol):
     """A connection of a caller.
@@ -169,6 +173,10 @@
         """Return whether a request has been read and is being handled."""
         return self._handler_task is not None
 
+    def unsent_bytes(self) -> int:
+        """Return the bytes of responses that the kernel has not taken."""
+        return self._transport.get_write_buffer_size()
+
     def close_if_idle(self) -> None:
         """Close the connection unless a request has started."""
         in_progress = (
--- a/oleanderridge/telemetry/explain.py
+++ b/oleanderridge/telemetry/explain.py
@@ -31,6 +31,7 @@
         'leader-changed',
         'leader-unanswering',
         'host-leaving',
+        'drain-ended',
         'host-started',
         'host-ready',
         'log-lines-dropped',
--- a/tests/test_gateway_request.py
+++ b/tests/test_gateway_request.py
@@ -520,3 +520,33 @@
 def test_a_pause_is_read_from_a_503(status, value, pause_s):
     """Guards against a pause of nonsense, or after another answer."""
     assert read_notice(status, [(b'retry-after', value)]).pause_s == pause_s
+
+
+def test_requests_that_a_stop_interrupts_are_logged(caplog):
+    """Guards against requests that end with their host and leave no trace."""
+
+    async def interrupt():
+        sent = asyncio.Event()
+
+        async def hang(target, reader, _writer, _connection_index):
+            await target.read_request(reader)
+            sent.set()
+            await reader.read()
+
+        async with StubTarget(hang) as target:
+            harness = _ForwarderHarness(_route(UNSAFE), [target])
+            caller_disconnected = asyncio.get_running_loop().create_future()
+            handling = asyncio.create_task(
+                harness.forwarder.handle(
+                    _inbound_request(UNSAFE, caller_disconnected)
+                )
+            )
+            await sent.wait()
+            harness.forwarder.log_unfinished()
+            handling.cancel()
+
+    asyncio.run(interrupt())
+    interrupted = [
+        line for line in caplog.records if line.message == 'request-interrupted'
+    ]
+    assert [(line.id, line.in_flight) for line in interrupted] == [('a1', 1)]
