Wait at the end of a host until callers have their answers

Cause: the drain waited for running handlers. A handler ends when the transport takes its answer, so what the kernel had not taken ended with the event loop.

Change: the drain ends when all connections of callers have closed. Idle ones are closed with the listener. At 0.93 of the grace time, what still runs is answered truthfully (502 if a target may have run it, else 503), requests that have arrived in part are refused, and 0.04 of it is left to send that. The lingering close begins when the answer has been sent.

--- a/bench/slot_target.py
+++ b/bench/slot_target.py
@@ -26,6 +26,7 @@
         self.target = target
         self.mode = 'up'
         self.work_s = _WORK_S
+        self.answer_bytes = 0
         self.runs: list[tuple[str, str]] = []
         self.address = ''
         self._slots = slots
@@ -63,7 +64,8 @@
         finally:
             self._busy -= 1
         return web.Response(
-            body=b'%b:%b' % (self.target.encode(), body),
+            body=b'%b:%b' % (self.target.encode(), body)
+            + bytes(self.answer_bytes),
             headers={
                 'Oleanderridge-Attempt-Id': attempt,
                 'Oleanderridge-Response-Signature': 'signed',
--- a/oleanderridge/forward/gateway_request.py
+++ b/oleanderridge/forward/gateway_request.py
@@ -82,6 +82,7 @@
 _DEFAULT_RETRY_AFTER_S: Final = 0.3
 _DEADLINE: Final = 'deadline'
 _STOPPING: Final = 'stopping'
+_INTERRUPTED: Final = 'interrupted'
 # A target whose connection was cut off has ended if it takes no new one.
 _CUT_OFF_KINDS: Final = frozenset((RESET, STALE, SHORT))
 _END_CHECK_TIMEOUT_S: Final = 0.05
@@ -155,11 +156,12 @@
         )
         return result.reply
 
-    def log_unfinished(self) -> None:
-        """Log the requests that the end of this host interrupts."""
+    def interrupt(self) -> None:
+        """End all requests, since this host ends."""
         now = _now()
-        for request in self._task_by_request:
+        for request, task in self._task_by_request.items():
             log_unfinished(request, now)
+            task.cancel()
 
     def begin_draining(self, ends_at: float) -> None:
         """Start only requests that end before this host does.
@@ -186,9 +188,11 @@
             )
             if not task.done():
                 return await self._on_caller_left(request, task)
-            if task.cancelled():
-                return _stopping_result()
-            return task.result()
+            if not task.cancelled():
+                return task.result()
+            if request.was_sent():
+                return refusal_result(502, _INTERRUPTED)
+            return _stopping_result()
         finally:
             del self._task_by_request[request]
 
--- a/oleanderridge/gateway/process.py
+++ b/oleanderridge/gateway/process.py
@@ -59,9 +59,10 @@
 _STORE_AGE_MAX_MS: Final = 2500
 # Fractions of the shutdown time limit. Until the first, new connections are
 # still accepted, because callers may use cached addresses; until the second,
-# running requests may finish.
+# running requests may finish; until the third, answers may be sent.
 _ACCEPT_FRACTION: Final = 0.72
 _DRAIN_FRACTION: Final = 0.93
+_FLUSH_FRACTION: Final = 0.97
 _CONNECT_TIMEOUT_S: Final = 0.12
 _BUFFER_FRACTION: Final = 0.25
 _MEGABYTE: Final = 1_000_000
@@ -392,7 +393,8 @@
         """Shut down gracefully.
 
         New connections are accepted for a while, since callers may still use
-        cached addresses; then the running requests are given time to finish.
+        cached addresses; then the running requests are given time to finish,
+        and their answers to reach the callers, who close the connections.
         Requests that may need longer than that are not started.
         """
         stop_s = self._settings['bounds']['stop_s']
@@ -411,9 +413,10 @@
         self._forwarder.begin_draining(end_at)
         await asyncio.sleep(_ACCEPT_FRACTION * stop_s)
         self._callers.stop_listening()
-        # Polling avoids a completion callback for every request.
-        while self._callers.live() and _now() < end_at:  # noqa: ASYNC110
-            await asyncio.sleep(_TICK_INTERVAL_S)
+        if not await self._callers.wait_closed(end_at):
+            self._forwarder.interrupt()
+            self._callers.refuse_unread()
+            await self._callers.wait_closed(began + _FLUSH_FRACTION * stop_s)
         log_event(
             _LOGGER,
             'drain-ended',
@@ -423,7 +426,6 @@
             connections=len(self._callers.connections),
             unsent_bytes=self._callers.unsent_bytes(),
         )
-        self._forwarder.log_unfinished()
         for task in tuple(self._tasks):
             task.cancel()
         self._pool.close()
--- a/oleanderridge/http1/server.py
+++ b/oleanderridge/http1/server.py
@@ -21,10 +21,12 @@
 _LINGER_S: Final = 1.0
 # A caller that leaves sent data unacknowledged for this long is disconnected.
 _TCP_USER_TIMEOUT_MS: Final = 8000
+_CLOSE_POLL_S: Final = 0.02
 _STATUS_BAD_REQUEST: Final = 400
 _STATUS_TIMEOUT: Final = 408
 _STATUS_TOO_LARGE: Final = 413
 _STATUS_HEADERS_TOO_LARGE: Final = 431
+_STATUS_UNAVAILABLE: Final = 503
 _STATUSES_WITHOUT_BODY: Final = frozenset((204, 304))
 
 Handler = Callable[[Inbound], Awaitable[Reply]]
@@ -93,9 +95,35 @@
             connection.close_if_idle()
 
     def stop_listening(self) -> None:
-        """Stop accepting connections."""
+        """Stop accepting connections, and close those without a request."""
         if self._server is not None:
             self._server.close()
+        for connection in tuple(self.connections):
+            connection.close_if_idle()
+
+    async def wait_closed(self, until: float) -> bool:
+        """Wait until each caller has its answer and its connection has closed.
+
+        Parameters
+        ----------
+        until : float
+            Loop time in seconds at which the wait ends at the latest.
+
+        Returns
+        -------
+        bool
+            Whether all connections have closed.
+        """
+        loop = asyncio.get_running_loop()
+        # Polling avoids a completion callback for every connection.
+        while self.connections and loop.time() < until:  # noqa: ASYNC110
+            await asyncio.sleep(_CLOSE_POLL_S)
+        return not self.connections
+
+    def refuse_unread(self) -> None:
+        """Refuse the requests of which only a part has arrived."""
+        for connection in tuple(self.connections):
+            connection.refuse_if_unread()
 
     def live(self) -> int:
         """Return the number of requests that are being handled."""
@@ -185,6 +213,13 @@
         if not in_progress and not self._http.trailing_data[0]:
             self._transport.close()
 
+    def refuse_if_unread(self) -> None:
+        """Refuse a request of which only a part has arrived."""
+        if self._handler_task is not None or self._lingering:
+            return
+        if self._request_head is not None or self._http.trailing_data[0]:
+            self._respond_and_close(_STATUS_UNAVAILABLE)
+
     def _start_timer(self, delay_s: float) -> None:
         self._cancel_timer()
         self._timer = self._loop.call_later(delay_s, self._on_timeout)
@@ -195,6 +230,10 @@
             self._timer = None
 
     def _on_timeout(self) -> None:
+        if self._lingering and self.unsent_bytes():
+            # The lingering close begins when the response has been sent.
+            self._start_timer(_LINGER_S)
+            return
         if self._lingering or self._request_head is None:
             if self._http.trailing_data[0] and not self._lingering:
                 self._respond_and_close(_STATUS_TIMEOUT)
@@ -264,7 +303,7 @@
         over_total_limit = self._edge.buffered_bytes > limits.buffered_bytes_max
         if over_total_limit or self._body_bytes > limits.body_bytes:
             self._respond_and_close(
-                503 if over_total_limit else _STATUS_TOO_LARGE
+                _STATUS_UNAVAILABLE if over_total_limit else _STATUS_TOO_LARGE
             )
             return
         self._start_timer(limits.idle_timeout_s)
--- a/tests/test_gateway_fleet.py
+++ b/tests/test_gateway_fleet.py
@@ -451,3 +451,39 @@
         assert await asyncio.wait_for(leaving.wait(), 3) == 0
 
     _run(scenario, tmp_path, ports)
+
+
+async def _download_slowly(address, size):
+    """Return the body of a download that the caller reads at 25 MB/s."""
+    host, _, port = address.rpartition(':')
+    reader, writer = await asyncio.open_connection(host, int(port))
+    writer.write(
+        b'GET /s/1 HTTP/1.1\r\nhost: h\r\nauthorization: Token k1\r\n'
+        b'oleanderridge-attempt-id: download\r\n'
+        b'oleanderridge-deadline-ms: 600\r\n\r\n'
+    )
+    received = b''
+    while len(received) < size and (part := await reader.read(1 << 18)):
+        received += part
+        await asyncio.sleep(0.01)
+    writer.close()
+    return received.partition(b'\r\n\r\n')[2]
+
+
+def test_a_stopping_host_sends_its_answers_whole(tmp_path, ports):
+    """Guards against downloads that end in the buffers of a stopped host."""
+
+    async def scenario(fleet):
+        for target in fleet.targets:
+            target.work_s = 0.15
+            target.answer_bytes = 8_000_000
+        leaving = fleet.processes[_HOSTS[0]]
+        leaving.send_signal(signal.SIGTERM)
+        await asyncio.sleep(1.2)
+        body = await _download_slowly(
+            f'{_HOSTS[0]}:{fleet.ports["caller"]}', 8_000_000
+        )
+        assert len(body) >= 8_000_000
+        assert await asyncio.wait_for(leaving.wait(), 3) == 0
+
+    _run(scenario, tmp_path, ports)
--- a/tests/test_gateway_request.py
+++ b/tests/test_gateway_request.py
@@ -522,7 +522,7 @@
     assert read_notice(status, [(b'retry-after', value)]).pause_s == pause_s
 
 
-def test_requests_that_a_stop_interrupts_are_logged(caplog):
+def test_requests_that_a_stop_interrupts_are_answered_and_logged(caplog):
     """Guards against requests that end with their host and leave no trace."""
 
     async def interrupt():
@@ -542,10 +542,11 @@
                 )
             )
             await sent.wait()
-            harness.forwarder.log_unfinished()
-            handling.cancel()
+            harness.forwarder.interrupt()
+            return await handling
 
-    asyncio.run(interrupt())
+    # It may have run, so the reply promises nothing.
+    assert asyncio.run(interrupt()).status == 502
     interrupted = [
         line for line in caplog.records if line.message == 'request-interrupted'
     ]
--- a/tests/test_http1_server.py
+++ b/tests/test_http1_server.py
@@ -190,3 +190,81 @@
         return (await _read_response(reader))[1]
 
     assert _run_conversation(conversation) == b'POST /1abcde'
+
+
+_LARGE_BODY = bytes(1 << 24)
+
+
+async def _read_slowly(reader):
+    """Read to the end of the stream at 32 MB a second at the most."""
+    received = b''
+    while part := await reader.read(1 << 18):
+        received += part
+        await asyncio.sleep(0.008)
+    return received
+
+
+def test_a_closing_server_waits_for_slow_callers():
+    """Guards against answers that end in the buffers of a stopped host."""
+
+    async def answer_large(_inbound):
+        return Reply(200, [], _LARGE_BODY)
+
+    async def conversation(edge, reader, writer):
+        writer.write(b'GET /1 HTTP/1.1\r\nhost: h\r\n\r\n')
+        await asyncio.sleep(0.05)
+        edge.begin_closing()
+        receiving = asyncio.create_task(_read_slowly(reader))
+        await asyncio.sleep(0.05)
+        assert edge.live() == 0
+        assert edge.unsent_bytes() > 0
+        closed = await edge.wait_closed(asyncio.get_running_loop().time() + 3)
+        assert closed
+        assert edge.unsent_bytes() == 0
+        return await receiving
+
+    received = _run_conversation(conversation, answer_large)
+    assert received.endswith(_LARGE_BODY)
+
+
+def test_a_closing_server_ends_its_wait_for_callers_that_do_not_read():
+    """Guards against a caller that keeps a stopping host from its end."""
+
+    async def answer_large(_inbound):
+        return Reply(200, [], _LARGE_BODY)
+
+    async def conversation(edge, _reader, writer):
+        writer.write(b'GET /1 HTTP/1.1\r\nhost: h\r\n\r\n')
+        await asyncio.sleep(0.1)
+        return await edge.wait_closed(asyncio.get_running_loop().time() + 0.3)
+
+    assert not _run_conversation(conversation, answer_large)
+
+
+def test_a_stopped_server_closes_connections_without_a_request():
+    """Guards against callers that delay the end of a host with idle ones."""
+
+    async def conversation(edge, reader, _writer):
+        edge.begin_closing()
+        edge.stop_listening()
+        closed = await edge.wait_closed(asyncio.get_running_loop().time() + 1)
+        return closed, await reader.read()
+
+    assert _run_conversation(conversation) == (True, b'')
+
+
+def test_a_request_that_never_arrives_whole_is_refused_at_the_end():
+    """Guards against a close without an answer after a part was read."""
+
+    async def conversation(edge, reader, writer):
+        writer.write(
+            b'POST /1 HTTP/1.1\r\nhost: h\r\ncontent-length: 9\r\n\r\nhalf'
+        )
+        await asyncio.sleep(0.05)
+        edge.begin_closing()
+        edge.stop_listening()
+        assert not await edge.wait_closed(asyncio.get_running_loop().time())
+        edge.refuse_unread()
+        return await reader.read()
+
+    assert _run_conversation(conversation).startswith(b'HTTP/1.1 503')
