Show hosts that are alone and the part of each rate that they admit

Neither logs nor metrics said that a host hears no other one or which part of the rates it takes: leader-changed has alive=1 at each start, alone or not.

Ruled out: the store's age and version, which are as they should be there.

Change: a gauge fleet_share; host-alone (warning, with the seeds that don't answer) and host-joined.

Measured: no change of behaviour; test_a_host_that_hears_no_other_says_so fails without the gauge.

--- a/oleanderridge/gateway/gateway_metrics.py
+++ b/oleanderridge/gateway/gateway_metrics.py
@@ -48,6 +48,9 @@
         )
         self.store_calls = self._gauge('store_calls', 'Calls to the store.')
         self.hosts_alive = self._gauge('hosts_alive', 'Hosts that are heard.')
+        self.fleet_share = self._gauge(
+            'fleet_share', 'Part of each rate that this host admits.'
+        )
 
     def on_ended(
         self, service: str, reason: str, kind: str, took_s: float
--- a/oleanderridge/gateway/process.py
+++ b/oleanderridge/gateway/process.py
@@ -156,6 +156,7 @@
         self._stopping = asyncio.Event()
         self._tasks: set[asyncio.Task] = set()
         self._task_failed = False
+        self._is_alone = False
         self._leader_until: float = 0
         self._began: float = 0
         self._suspected_targets: set[str] = set()
@@ -305,6 +306,19 @@
             log_event(_LOGGER, 'target-trusted', logging.INFO, target=target)
         self._suspected_targets = suspected
 
+    def _log_if_alone(self) -> None:
+        alone = self._discovery_done.is_set() and not self._roster.peer_hosts()
+        if alone == self._is_alone:
+            return
+        self._is_alone = alone
+        log_event(
+            _LOGGER,
+            'host-alone' if alone else 'host-joined',
+            logging.WARNING if alone else logging.INFO,
+            seeds=','.join(self._settings['peers']['seeds']) or '-',
+            part=round(self._placement.fleet_share, 4),
+        )
+
     def _on_stored_configuration(self, source: bytes) -> None:
         before = self._beliefs.version()
         self._beliefs.offer(source, 'store')
@@ -387,6 +401,8 @@
             self._metrics.store_era.set({}, era)
             self._metrics.store_calls.set({}, self._store.calls)
             self._metrics.hosts_alive.set({}, len(self._roster.alive(now)))
+            self._metrics.fleet_share.set({}, self._placement.fleet_share)
+            self._log_if_alone()
             await asyncio.sleep(_MAINTENANCE_INTERVAL_S)
 
     async def _drain(self) -> None:
--- a/oleanderridge/telemetry/explain.py
+++ b/oleanderridge/telemetry/explain.py
@@ -32,6 +32,8 @@
         'leader-unanswering',
         'host-leaving',
         'drain-ended',
+        'host-alone',
+        'host-joined',
         'host-started',
         'host-ready',
         'log-lines-dropped',
--- a/tests/test_gateway_fleet.py
+++ b/tests/test_gateway_fleet.py
@@ -487,3 +487,29 @@
         assert await asyncio.wait_for(leaving.wait(), 3) == 0
 
     _run(scenario, tmp_path, ports)
+
+
+def test_a_host_that_hears_no_other_says_so(tmp_path, ports):
+    """Guards against hosts that stay alone without a trace."""
+
+    async def scenario(fleet):
+        for process in fleet.processes.values():
+            process.kill()
+            await process.wait()
+        lone = _HOSTS[2]
+        await fleet.start_host(lone)
+        metrics = f'http://{lone}:{fleet.ports["ready"]}/metrics'
+
+        async def alone():
+            async with fleet.session.get(metrics) as response:
+                lines = (await response.text()).splitlines()
+            shares = [
+                float(line.split()[-1])
+                for line in lines
+                if line.startswith('oleanderridge_gateway_fleet_share')
+            ]
+            return shares and 0 < shares[0] < 0.1
+
+        await fleet.until(alone)
+
+    _run(scenario, tmp_path, ports)
