Let lone hosts count on a large fleet, and read new seeds

Cause: a reload took over bounds and placement only, and the seeds were copied at the start; and a host that knows no other counted on 24 hosts, so that 45 admitted 1.9 times a rate, and a whole request each besides.

Ruled out: each host leading for the whole fleet (its share is 1/24); serve, where a host without a lease mints nothing.

Change: seeds are read at each use and peers is reloaded, but for its port. A lone host counts on the largest fleet (peers.hosts_max) until its seeds have had time to answer, again after they change. Small parts of a burst are rounded at random. Retry-After of a host with a small part is 1 s at most.

--- a/oleanderridge/admission/quota.py
+++ b/oleanderridge/admission/quota.py
@@ -17,6 +17,8 @@
 # Higher after a restart of all hosts: nothing was admitted meanwhile.
 _INITIAL_LEVEL_SHARE_AFTER_RESTART: Final = 0.6
 _SMALL_SHARE_BELOW: Final = 0.5
+# By then a host with a small share has mostly joined the others.
+_SMALL_SHARE_RETRY_AFTER_MAX_S: Final = 1.0
 # Fractions of the operator's tolerance that are admitted in addition to the
 # rate, so that a request that is within the rate by another clock is not
 # refused; the rest covers changes of the placing host.
@@ -165,8 +167,10 @@
             return QuotaTake(True, 0)
         if self._is_bypassing(name):
             return QuotaTake(False, _BYPASS_RETRY_AFTER_S)
-        missing = 1 - bucket.level
-        return QuotaTake(False, missing / self._refill_rate(workspace))
+        retry_after_s = (1 - bucket.level) / self._refill_rate(workspace)
+        if self._share < _SMALL_SHARE_BELOW:
+            retry_after_s = min(retry_after_s, _SMALL_SHARE_RETRY_AFTER_MAX_S)
+        return QuotaTake(False, retry_after_s)
 
     def refund(self, name: str) -> None:
         """Return the token of a request that was refused and not run."""
@@ -241,7 +245,12 @@
         if self._is_bypassing(workspace.name):
             return self._stored_for_bypass(workspace)
         if self._share < _SMALL_SHARE_BELOW:
-            return capacity
+            if self._near_limit is not None:
+                return capacity
+            # A whole token at each of many hosts that count for their part of
+            # the fleet alone would be more than the burst.
+            tokens = workspace.burst * self._share + self._rng.random()
+            return min(capacity, math.floor(tokens))
         return max(1, capacity * self._level_share_of_successor(workspace.name))
 
     def _level_share_of_successor(self, name: str) -> float:
--- a/oleanderridge/gateway/fleet_sync.py
+++ b/oleanderridge/gateway/fleet_sync.py
@@ -111,9 +111,6 @@
         self._beliefs = beliefs
         self._datagrams = datagrams
         self._rng = rng
-        self._seeds = [
-            seed.rpartition(':')[0] or seed for seed in self._peers['seeds']
-        ]
         self._heartbeat_count = 0
         self._fetches_in_progress: set[str] = set()
         self._tasks: set[asyncio.Task] = set()
@@ -272,15 +269,15 @@
     def _discovery_hosts(self) -> set[str]:
         others = self._roster.peer_hosts()
         if not others:
-            return set(self._seeds) - {self._roster.host}
+            return self._roster.discovery.seeds()
         is_leader = self._leader == self._roster.host
         if (
             self._heartbeat_count % _DISCOVERY_HEARTBEAT_INTERVAL
             and not is_leader
         ):
             return set()
-        candidates = [*self._seeds, self._rng.choice(others)]
-        return {self._rng.choice(candidates)} - {self._roster.host}
+        seeds = self._roster.discovery.seeds()
+        return {self._rng.choice([*seeds, self._rng.choice(others)])}
 
     def _build_heartbeat(self, now: float, *, reply_wanted: bool) -> Beat:
         roster = self._roster
--- a/oleanderridge/gateway/reload.py
+++ b/oleanderridge/gateway/reload.py
@@ -17,7 +17,9 @@
 
 # Sections whose values are read at each use. Changes in other sections, such
 # as listener addresses, take effect only after a restart.
-_RELOADABLE_SECTIONS: Final = ('bounds', 'placement')
+_RELOADABLE_SECTIONS: Final = ('bounds', 'placement', 'peers')
+# Settings of those sections that hold for the life of a process.
+_FIXED_SETTINGS: Final = frozenset((('peers', 'port'),))
 
 
 class SettingsReload:
@@ -60,8 +62,14 @@
             for name, value in new_settings.items()
             if self._settings.get(name) != value
         ]
-        for name in _RELOADABLE_SECTIONS:
-            self._settings[name].update(new_settings[name])
+        for section in _RELOADABLE_SECTIONS:
+            self._settings[section].update(
+                {
+                    name: value
+                    for name, value in new_settings[section].items()
+                    if (section, name) not in _FIXED_SETTINGS
+                }
+            )
         log_event(
             _LOGGER,
             'settings-read',
--- a/oleanderridge/membership/roster.py
+++ b/oleanderridge/membership/roster.py
@@ -15,6 +15,7 @@
 
 from oleanderridge.generated.fleet import Beat, MemberEntry
 from oleanderridge.generated.gateway import GatewaySettings
+from oleanderridge.membership.discovery import Discovery
 
 STARTING: Final = 0
 READY: Final = 1
@@ -35,9 +36,6 @@
 # A host that is marked silent was last heard this long before the limit, so
 # that rounding does not leave it alive.
 _SILENCE_MARGIN_S: Final = 0.001
-# Fleet size that a host assumes before it knows any other host, so that a
-# restarted host takes only a small share of each rate.
-_ASSUMED_FLEET_SIZE: Final = 24
 
 
 class RosterMember(NamedTuple):
@@ -101,6 +99,7 @@
         # size rank by start time alone.
         self.strength = round(math.log2(settings['cores']))
         self.state = STARTING
+        self.discovery = Discovery(self._peers, self.host)
         self._by_host: dict[str, RosterMember] = {}
         # When the leader's list last had a host. This keeps the host alive
         # here, but is not passed on: a list that is confirmed by a list would
@@ -374,7 +373,8 @@
         """
         known = self.known_host_count(now)
         if known == 1:
-            return 1 / _ASSUMED_FLEET_SIZE
+            return 1 / self.discovery.assumed_hosts(now)
+        self.discovery.end()
         cutoff = now - _FOLLOWER_EXPIRY_BEATS * self._peers['beat_s']
         followers = sum(at >= cutoff for at in self._last_followed_at.values())
         return (1 + followers) / known
--- a/tests/test_gateway_fleet.py
+++ b/tests/test_gateway_fleet.py
@@ -24,7 +24,7 @@
 readiness: {{address: "{host}:{ready}"}}
 directory: {{address: "{host}:{directory}"}}
 directory_ttl_s: 0.5
-peers: {{port: {peer}, seeds: ["127.0.0.11:1", "127.0.0.12:1"]}}
+peers: {{port: {peer}, seeds: {seeds}}}
 store: {{address: "{store}"}}
 bounds: {{stop_s: 2}}
 """
@@ -90,14 +90,23 @@
             ).encode(),
         )
 
-    async def start_host(self, host):
-        """Start one gateway process."""
+    def write_settings(self, host, seeds=_HOSTS[:2]):
+        """Write the settings of a host; return their path."""
         path = self.folder / f'{host}.yaml'
         path.write_text(
             _SETTINGS.format(
-                host=host, zone='z1', store=self.store_address, **self.ports
+                host=host,
+                zone='z1',
+                seeds=json.dumps([f'{seed}:1' for seed in seeds]),
+                store=self.store_address,
+                **self.ports,
             )
         )
+        return path
+
+    async def start_host(self, host, seeds=_HOSTS[:2]):
+        """Start one gateway process."""
+        path = self.write_settings(host, seeds)
         self.processes[host] = await asyncio.create_subprocess_exec(
             sys.executable,
             '-m',
@@ -513,3 +522,33 @@
         await fleet.until(alone)
 
     _run(scenario, tmp_path, ports)
+
+
+@pytest.mark.parametrize('signalled', [True, False])
+def test_hosts_whose_seeds_stay_down_find_those_of_new_settings(
+    tmp_path, ports, signalled
+):
+    """Guards against hosts that stay alone after a loss of power."""
+
+    async def scenario(fleet):
+        for process in fleet.processes.values():
+            process.kill()
+            await process.wait()
+        survivors = _HOSTS[1:]
+        for host in survivors:
+            await fleet.start_host(host, seeds=_HOSTS[:1])
+
+        async def alone():
+            return [len(await fleet.addresses(each)) for each in survivors] == [
+                1,
+                1,
+            ]
+
+        await fleet.until(alone)
+        for host in survivors:
+            fleet.write_settings(host, seeds=_HOSTS[1:2])
+            if signalled:
+                fleet.processes[host].send_signal(signal.SIGHUP)
+        await fleet.until_serving(survivors)
+
+    _run(scenario, tmp_path, ports)
--- a/tests/test_quota_of_a_fleet.py
+++ b/tests/test_quota_of_a_fleet.py
@@ -5,6 +5,7 @@
 import pytest
 
 from oleanderridge.admission.quota import FleetQuota
+from oleanderridge.membership.discovery import Discovery
 from tests.gateway_world import gateway_settings, workspace
 
 _HOSTS = 36
@@ -145,3 +146,67 @@
     fleet = _Fleet(rate, burst, seed)
     fleet.run(30, 0.9 * rate, leader_s=2.5, handover=0.3)
     assert len(fleet.admitted_at) >= (1 - 0.25 * 0.3 / 2.5) * fleet.asked
+
+
+class _RestartedFleet:
+    """Hosts that have lost power and find no seed for a while.
+
+    Each counts for the fleet as its ``Discovery`` says, until one leads.
+    """
+
+    def __init__(self, hosts, rate, burst, seed):
+        settings = gateway_settings()
+        self.peers = settings['peers']
+        self.peers['hosts_max'] = 300
+        self._rng = Random(seed)
+        self._quotas = [
+            FleetQuota(settings['bounds'], Random(seed + place))
+            for place in range(hosts)
+        ]
+        self._searches = [
+            Discovery(self.peers, f'10.0.0.{place}') for place in range(hosts)
+        ]
+        for quota in self._quotas:
+            quota.configure({'w': workspace('w', rate=rate, burst=burst)})
+        self.allowed = (rate * _WINDOW_S + burst) * 1.25 + 20
+        self.admitted_at = []
+
+    def run(self, until, per_s, joined_at):
+        """Ask at random hosts for ``until`` seconds after the restart."""
+        for step in range(int(until * per_s)):
+            now = step / per_s
+            host = self._rng.randrange(len(self._quotas))
+            quota = self._quotas[0 if now >= joined_at else host]
+            quota.record_fleet_restart(common=True)
+            quota.set_fleet_share(
+                1
+                if now >= joined_at
+                else 1 / self._searches[host].assumed_hosts(now)
+            )
+            if quota.take('w', now).taken:
+                self.admitted_at.append(now)
+
+    def most_in_window(self):
+        """Return the most requests admitted in some window."""
+        return max(
+            sum(began <= at <= began + _WINDOW_S for at in self.admitted_at)
+            for began in self.admitted_at
+        )
+
+
+@pytest.mark.parametrize('hosts', [8, 45, 104, 293])
+@pytest.mark.parametrize(('rate', 'burst'), [(10, 10), (40, 40), (100, 200)])
+def test_hosts_that_find_no_seed_after_a_loss_of_power_keep_to_a_rate(
+    rate, burst, hosts
+):
+    """Guards against a rate that each of many lone hosts hands out in part.
+
+    Load: a workspace sends eight times its rate from the restart on; the hosts
+    join when the settings name seeds that are up.
+    """
+    fleet = _RestartedFleet(hosts, rate, burst, seed=hosts)
+    lag_s = fleet.peers['seed_lag_s']
+    fleet.run(12, 8 * rate, joined_at=lag_s + 0.9)
+    assert fleet.most_in_window() <= fleet.allowed
+    # Nothing is withheld once they have joined.
+    assert sum(at > lag_s + 1 for at in fleet.admitted_at) >= rate * 8
