Close idle connections only when a stopping host stops listening

The soak showed another fault: at the SIGTERM the host closed all idle kept connections, and requests that were on their way on them ended unread. The caller of an order can't tell that from a lost one.

Ruled out: moves to another target (one send each); the close that crosses a request, for the users' cases (their requests ran).

Change: idle connections stay open until the listener closes, and the next answer on each closes it.

--- a/oleanderridge/http1/server.py
+++ b/oleanderridge/http1/server.py
@@ -86,13 +86,12 @@
         )
 
     def begin_closing(self) -> None:
-        """Close each connection after its current response.
+        """Close each connection after its next response.
 
-        New connections are still accepted.
+        New connections are still accepted. Idle connections stay open, since
+        a request may be on its way on each of them.
         """
         self.closing = True
-        for connection in tuple(self.connections):
-            connection.close_if_idle()
 
     def stop_listening(self) -> None:
         """Stop accepting connections, and close those without a request."""
