Test answers without end against the client of serve

Cause for looking: another operator's host kept the bytes that a faulty target sent without end, in a head or a body, and ran out of memory.

Ruled out by these tests: the same for serve, in 13 places of an answer, with a caller that reads nothing; the host keeps less than 16 MB and closes the connection by the deadline of the request. The client of gateway has had the same tests before, with a bound on all unfinished answers together.

Change: tests alone.

--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -1,10 +1,17 @@
 """Targets that send bytes without end, in a head or in a body."""
 
 import asyncio
+import contextlib
 import itertools
+import tracemalloc
 
 import pytest
+from result import Ok
 
+from bench.forward_host import request
+from bench.processes import wait_until
+from oleanderridge.forward.client import Attempt, TargetClient
+from oleanderridge.forward.stream import IncompleteBodyError
 from oleanderridge.http1.client import AnswerLimits, ExchangeError, Outbound
 from oleanderridge.http1.connection_pool import ConnectionPool
 from oleanderridge.platform.headers import answers_attempt
@@ -158,3 +165,59 @@
         pool.close()
 
     asyncio.run(run())
+
+
+_SERVE_BUFFER_BYTES = 1 << 20
+_SERVE_TIMEOUT_S = 1.5
+
+
+@pytest.mark.parametrize('place', _ENDLESS)
+def test_serve_keeps_no_endless_answer(place):
+    """Guards against a host of ``serve`` that reads until its memory is full.
+
+    The caller reads nothing, so that whatever arrives would be kept.
+    """
+    first, again = _ENDLESS[place]
+    ended = {}
+
+    async def run():
+        client = TargetClient(None)
+        await client.open()
+        async with StubTarget(_serve_endlessly(first, again, ended)) as target:
+            attempt = Attempt(
+                f'http://{target.address}/a/1',
+                request(),
+                _SERVE_TIMEOUT_S,
+                0.5,
+                '',
+                _SERVE_BUFFER_BYTES,
+            )
+            tracemalloc.start()
+            began, _ = tracemalloc.get_traced_memory()
+            answered = None
+            with contextlib.suppress(TimeoutError):
+                answered = await client.send(attempt, lambda: None)
+            if isinstance(answered, Ok) and answered.ok_value.stream:
+                with pytest.raises(IncompleteBodyError):
+                    await _read_at_the_deadline(answered.ok_value.stream)
+            _, peak = tracemalloc.get_traced_memory()
+            tracemalloc.stop()
+            await wait_until(_closed(ended), 3, 'the target is told')
+        await client.close()
+        return peak - began
+
+    peak_bytes = asyncio.run(run())
+    assert peak_bytes < _SENT_BYTES_MAX
+
+
+async def _read_at_the_deadline(stream):
+    await asyncio.sleep(_SERVE_TIMEOUT_S)
+    async for _ in stream:
+        pass
+
+
+def _closed(ended):
+    async def closed():
+        return 'closed' in ended
+
+    return closed
