Log how much of a store's answer came before its time limit

Ruled out: the transport's own errors, which are logged as such.

Change: the detail of the fault has the bytes that had come.

--- a/oleanderridge/http1/client.py
+++ b/oleanderridge/http1/client.py
@@ -107,6 +107,7 @@
         self._has_response_data = False
         self._mismatched_responses = 0
         self.request_count = 0
+        self.received_bytes = 0
         self.idle_since: float = 0
         self.keep_alive_s = _KEEP_ALIVE_DEFAULT_S
         self.closed = False
@@ -123,6 +124,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse a response; close the connection on unsolicited data."""
+        self.received_bytes += len(data)
         if self._response_future is None or self._response_future.done():
             self.close()
             return
--- a/oleanderridge/platform/store.py
+++ b/oleanderridge/platform/store.py
@@ -152,14 +152,20 @@
             [(b'host', self._address.encode('ascii'))],
             b'',
         )
+        received_bytes = 0
         try:
             async with asyncio.timeout(wait_s + self._timeout_s):
                 connection = await self._pool.take(self._address)
-                reply = await connection.exchange(request, _accept_headers)
+                before = connection.received_bytes
+                try:
+                    reply = await connection.exchange(request, _accept_headers)
+                finally:
+                    received_bytes = connection.received_bytes - before
         except ExchangeError as error:
             return Err(StoreFault(UNREACHABLE, str(error)))
         except TimeoutError:
-            return Err(StoreFault(UNREACHABLE, 'no answer in time'))
+            detail = f'no answer in time, {received_bytes} bytes of one'
+            return Err(StoreFault(UNREACHABLE, detail))
         self._pool.give(self._address, connection)
         if reply.status == _HTTP_GONE:
             detail = f'no such history in era {_read_era(reply.headers)}'
