Limit pauses in the store's answers, not the whole answer

Cause: a call had one limit for silence and transfer, 0.6 s for a list, and a page of over 700 kB takes longer. Each try began anew. Only a host that got the configuration from another could have it.

Ruled out: a bound on the size of the document, which running hosts took in.

Change: the limit is on pauses in an answer, with 10 s for all of it.

--- a/oleanderridge/platform/store.py
+++ b/oleanderridge/platform/store.py
@@ -12,13 +12,20 @@
 from result import Err, Ok, Result
 
 from oleanderridge.gateway.store_position import NO_POSITION, StorePosition
-from oleanderridge.http1.client import Answer, ExchangeError, Outbound
+from oleanderridge.http1.client import (
+    Answer,
+    ExchangeError,
+    Outbound,
+    TargetConnection,
+)
 from oleanderridge.http1.connection_pool import ConnectionPool
 from oleanderridge.http1.messages import Headers, header
 
 _HTTP_OK: Final = 200
 _HTTP_GONE: Final = 410
 _MAX_PAGES: Final = 1000
+# Longest answer, however steadily its bytes come.
+_ANSWER_TIMEOUT_S: Final = 10.0
 _ERA: Final = b'store-era'
 _ERA_DIGITS_MAX: Final = 18
 
@@ -65,7 +72,7 @@
     address : str
         IP address and port of the store.
     timeout_s : float
-        Timeout of a call in seconds, in addition to its long-poll time.
+        Longest pause in an answer in seconds, after its long-poll time.
     """
 
     def __init__(self, address: str, timeout_s: float) -> None:
@@ -152,19 +159,15 @@
             [(b'host', self._address.encode('ascii'))],
             b'',
         )
-        received_bytes = 0
         try:
-            async with asyncio.timeout(wait_s + self._timeout_s):
+            async with asyncio.timeout(self._timeout_s):
                 connection = await self._pool.take(self._address)
-                before = connection.received_bytes
-                try:
-                    reply = await connection.exchange(request, _accept_headers)
-                finally:
-                    received_bytes = connection.received_bytes - before
+            async with asyncio.timeout(wait_s + _ANSWER_TIMEOUT_S):
+                reply = await self._exchange(connection, request, wait_s)
         except ExchangeError as error:
             return Err(StoreFault(UNREACHABLE, str(error)))
-        except TimeoutError:
-            detail = f'no answer in time, {received_bytes} bytes of one'
+        except TimeoutError as error:
+            detail = str(error) or 'no answer in time'
             return Err(StoreFault(UNREACHABLE, detail))
         self._pool.give(self._address, connection)
         if reply.status == _HTTP_GONE:
@@ -174,6 +177,30 @@
             return Err(StoreFault(REJECTED, f'status {reply.status}'))
         return _decode_page(reply)
 
+    async def _exchange(
+        self, connection: TargetConnection, request: Outbound, wait_s: float
+    ) -> Answer:
+        """Return an answer whose bytes keep coming."""
+        before = connection.received_bytes
+        received = before
+        exchange = asyncio.ensure_future(
+            connection.exchange(request, _accept_headers)
+        )
+        pause_s = wait_s + self._timeout_s
+        try:
+            while True:
+                await asyncio.wait((exchange,), timeout=pause_s)
+                if exchange.done():
+                    return exchange.result()
+                if connection.received_bytes == received:
+                    raise TimeoutError(
+                        f'no answer in time, {received - before} bytes of one'
+                    )
+                received = connection.received_bytes
+                pause_s = self._timeout_s
+        finally:
+            exchange.cancel()
+
 
 def _accept_headers(_headers: Headers) -> bool:
     return True
