Watch the store from where targets and configuration are both known

Cause: a heartbeat with the same targets moved the host's position on, past a configuration that it lacked, and its watch of the store began behind it.

Ruled out: a host that doesn't read the store, for the case (8 calls). In larger zones it read too late, as its limit of age grows with its rank.

Change: the position from which the store is watched counts targets and configuration; hosts state theirs in heartbeats and sync replies. A host that knows of a newer version and reaches none of those that have it reads the store at once.

--- a/oleanderridge/config/follower.py
+++ b/oleanderridge/config/follower.py
@@ -43,7 +43,9 @@
 class FollowerPorts(NamedTuple):
     """What a follower reports to.
 
-    ``outage_ended_at`` returns when the store was last back for the fleet.
+    ``outage_ended_at`` returns when the store was last back for the fleet,
+    ``known_position`` up to where targets and configuration are known, from the
+    store or from other hosts.
     """
 
     on_configuration: Callable[[bytes], None]
@@ -51,6 +53,8 @@
     on_store_contact: Callable[[], None]
     should_read_store: Callable[[], bool]
     outage_ended_at: Callable[[], float]
+    on_position: Callable[[StorePosition], None]
+    known_position: Callable[[], StorePosition]
 
 
 class StoreFollower:
@@ -110,7 +114,7 @@
     async def _step(self) -> StoreFault | None:
         if self._needs_list:
             return await self._list()
-        known = max(self._watched_to, self._table.position)
+        known = max(self._watched_to, self._ports.known_position())
         watched = await self._client.watch(
             _EVERYTHING, known.revision, self._store['wait_s']
         )
@@ -126,6 +130,7 @@
         self._take_in(page)
         self._watched_to = page.position
         self._table.advance(page.position)
+        self._ports.on_position(page.position)
         if page.items:
             self._ports.on_targets()
             await asyncio.sleep(_BATCH_S)
@@ -143,6 +148,7 @@
             self._on_restored(page.position)
         self._watched_to = page.position
         self._take_in_list(page)
+        self._ports.on_position(page.position)
         self._ports.on_targets()
         return None
 
@@ -228,7 +234,7 @@
         )
 
     def _log_history_gone(self, fault: StoreFault) -> None:
-        known = max(self._watched_to, self._table.position)
+        known = max(self._watched_to, self._ports.known_position())
         log_event(
             _LOGGER,
             'store-history-gone',
--- a/oleanderridge/gateway/beliefs.py
+++ b/oleanderridge/gateway/beliefs.py
@@ -10,6 +10,7 @@
 
 from oleanderridge.findings import format_finding
 from oleanderridge.gateway.model import Configuration
+from oleanderridge.gateway.store_position import NO_POSITION, StorePosition
 from oleanderridge.gateway.target_table import TargetTable
 from oleanderridge.platform.records import decode_configuration
 from oleanderridge.telemetry.logs import log_event
@@ -47,6 +48,9 @@
     ) -> None:
         self.table = TargetTable(lapse_s)
         self.configuration: Configuration | None = None
+        # Position up to which both targets and configuration are known; that
+        # of the table is for targets alone.
+        self.position = NO_POSITION
         self.on_targets = on_targets
         self._on_configuration = on_configuration
         # When the last absence of the store ended, in monotonic seconds.
@@ -106,6 +110,21 @@
         )
         self._on_configuration(configuration)
 
+    def advance(self, position: StorePosition) -> None:
+        """Record a position up to which targets and configuration are known.
+
+        Parameters
+        ----------
+        position : StorePosition
+            Of the store, or of a host with the same targets and configuration.
+        """
+        self.position = max(self.position, position)
+
+    def known_revision(self) -> int:
+        """Return the known revision in the table's era, or 0."""
+        same_era = self.position.era == self.table.position.era
+        return self.position.revision if same_era else 0
+
     def confirm(self, at: float) -> None:
         """Record a time at which the replica was up to date.
 
--- a/oleanderridge/gateway/fleet_sync.py
+++ b/oleanderridge/gateway/fleet_sync.py
@@ -124,6 +124,8 @@
         self._advice_until: float = 0
         self._news = _NO_NEWS
         self._news_until: float = 0
+        self._announced_version = 0
+        self._reaches_peers = True
         self.crash_news: Callable[[], CrashNews] = lambda: _NO_NEWS
         self.on_crash_news: Callable[[CrashNews], None] = lambda _news: None
         self.avoid: Callable[[], list[str]] = list
@@ -210,6 +212,9 @@
         if beat.reply_wanted:
             reply = self._build_heartbeat(now, reply_wanted=False)
             self._datagrams.send(beat.host, reply)
+        self._announced_version = max(
+            self._announced_version, beat.config_version
+        )
         self._take_crash_news(beat)
         self._contact_higher_leader(beat, now)
         self._reconcile(beat, now)
@@ -220,6 +225,7 @@
         reply = targets_reply(
             self._beliefs.table, request, self._beliefs.age_ms(now)
         )
+        reply.known_revision = self._beliefs.known_revision()
         self._add_config(reply, request)
         if request.members_digest != self._roster.digest(now):
             self._add_members(reply, request, now)
@@ -230,6 +236,14 @@
         if len(reply.config) > _LARGE_DOCUMENT_BYTES:
             self._documents_sending -= 1
 
+    def lacks_configuration(self) -> bool:
+        """Return whether peers have a newer configuration out of reach.
+
+        A host that hears the others may not be heard by them.
+        """
+        is_behind = self._announced_version > self._beliefs.version()
+        return is_behind and not self._reaches_peers
+
     def _add_config(self, reply: SyncReply, request: SyncRequest) -> None:
         """Add a newer configuration to a reply.
 
@@ -307,6 +321,7 @@
             store_era=self._beliefs.table.position.era,
             crashes=news.crashes,
             blocked=news.blocked,
+            known_revision=self._beliefs.known_revision(),
         )
 
     def _current_advice(self, now: float) -> _Advice:
@@ -355,6 +370,7 @@
             table.advance(_position_of(beat))
             if beat.config_version == self._beliefs.version():
                 self._beliefs.confirm(now - beat.store_age_ms / 1000)
+                self._advance(beat)
         if self._is_behind(beat):
             near = beat.zone == self._roster.zone
             if near or not table.by_id or not self._beliefs.version():
@@ -433,9 +449,12 @@
                 'sync-failed',
                 logging.WARNING,
                 peer=host,
-                error=fetched.err_value,
+                error=fetched.err_value.detail,
+                reached=fetched.err_value.reached,
             )
+            self._reaches_peers = fetched.err_value.reached
             return
+        self._reaches_peers = True
         reply = fetched.ok_value
         now = _now()
         self._apply_members(host, reply, now)
@@ -451,6 +470,13 @@
         )
         if not is_behind:
             self._beliefs.confirm(now - reply.store_age_ms / 1000)
+            self._advance(reply)
+
+    def _advance(self, known: Beat | SyncReply) -> None:
+        """Record how far a host with the same state knows the store."""
+        if known.known_revision:
+            position = StorePosition(known.store_era, known.known_revision)
+            self._beliefs.advance(position)
 
     def _apply_config(self, host: str, reply: SyncReply) -> None:
         if not reply.config:
--- a/oleanderridge/gateway/peers.py
+++ b/oleanderridge/gateway/peers.py
@@ -6,7 +6,7 @@
 import logging
 import socket
 from collections.abc import Callable
-from typing import Any, Final
+from typing import Any, Final, NamedTuple
 
 from msgspec import DecodeError, ValidationError
 from msgspec.msgpack import Decoder, Encoder
@@ -159,6 +159,13 @@
     log_event(_LOGGER, 'peer-unreachable', logging.DEBUG, error=str(error))
 
 
+class SyncFault(NamedTuple):
+    """Why no state came, and whether the other host took a connection."""
+
+    reached: bool
+    detail: str
+
+
 async def serve_sync(
     address: str,
     port: int,
@@ -207,7 +214,7 @@
 
 async def fetch_sync(
     host: str, port: int, request: SyncRequest
-) -> Result[SyncReply, str]:
+) -> Result[SyncReply, SyncFault]:
     """Fetch the state that is newer on another host.
 
     Parameters
@@ -221,12 +228,14 @@
 
     Returns
     -------
-    Result of SyncReply, str
-        The newer state, or the error message.
+    Result of SyncReply, SyncFault
+        The newer state, or what prevented it.
     """
+    reached = False
     try:
         async with asyncio.timeout(_SYNC_TIMEOUT_S):
             reader, writer = await asyncio.open_connection(host, port)
+        reached = True
         try:
             await _write_frame(writer, _ENCODER.encode(request))
             content = await _read_frame(reader)
@@ -234,7 +243,7 @@
             writer.close()
         return Ok(_SYNC_REPLY_DECODER.decode(content))
     except _SYNC_ERRORS as error:
-        return Err(repr(error))
+        return Err(SyncFault(reached, repr(error)))
 
 
 async def _write_frame(writer: asyncio.StreamWriter, content: bytes) -> None:
--- a/oleanderridge/gateway/process.py
+++ b/oleanderridge/gateway/process.py
@@ -221,6 +221,8 @@
             on_store_contact=lambda: self._beliefs.confirm(_now()),
             should_read_store=self._should_read_store,
             outage_ended_at=lambda: self._beliefs.outage_ended_at,
+            on_position=self._beliefs.advance,
+            known_position=lambda: self._beliefs.position,
         )
 
     def _forwarder_ports(self) -> GatewayForwarderCallbacks:
@@ -363,6 +365,8 @@
             return False
         if self._roster.relay(now) == self._roster.host:
             return True
+        if self._sync.lacks_configuration():
+            return True
         rank = self._roster.rank_in_zone(now)
         age_limit_ms = _STORE_AGE_MS + _STORE_AGE_PER_RANK_MS * rank
         return self._beliefs.age_ms(now) > min(age_limit_ms, _STORE_AGE_MAX_MS)
--- a/tests/followed_store.py
+++ b/tests/followed_store.py
@@ -49,6 +49,8 @@
                 self._on_word,
                 lambda: True,
                 lambda: self.beliefs.outage_ended_at,
+                self.beliefs.advance,
+                lambda: self.beliefs.position,
             ),
         )
 
--- a/tests/gossip_model.py
+++ b/tests/gossip_model.py
@@ -12,6 +12,7 @@
 
 from oleanderridge.gateway import fleet_sync
 from oleanderridge.gateway.beliefs import Beliefs
+from oleanderridge.gateway.peers import SyncFault
 from oleanderridge.membership.roster import READY, Roster
 from tests.gateway_world import gateway_settings
 
@@ -81,6 +82,8 @@
         self.dead = set()
         # Hosts that are cut off from all others, but not from each other.
         self.cut_off = set()
+        # Hosts that hear the others, and whose own packets are lost.
+        self.unheard = set()
         # Share of the packets that links between the first zone and the
         # others lose, besides those that all links lose.
         self.zone_loss = 0.0
@@ -115,6 +118,8 @@
         """Return whether a message arrives."""
         if host not in self.by_host or {sender, host} & self.dead:
             return False
+        if sender in self.unheard:
+            return False
         if self.zone_loss and self._is_in_lossy_zone(sender) != (
             self._is_in_lossy_zone(host)
         ):
@@ -128,9 +133,9 @@
 
     async def fetch(self, host, _port, request):
         """Stand in for a sync call to a host."""
-        if not self.reaches(_current_host.get(), host):
+        if host in self.unheard or not self.reaches(_current_host.get(), host):
             await asyncio.sleep(_SYNC_TIMEOUT_S)
-            return Err('no answer in time')
+            return Err(SyncFault(False, 'no answer in time'))
         await asyncio.sleep(_DELAY_S)
         reply = self.by_host[host].answer_sync(request)
         await asyncio.sleep(_DELAY_S * (1 + 8 * self.rng.random()))
--- a/tests/restored_fleet.py
+++ b/tests/restored_fleet.py
@@ -254,6 +254,8 @@
                 lambda: beliefs.confirm(_now()),
                 lambda: self._should_read(host),
                 lambda: beliefs.outage_ended_at,
+                beliefs.advance,
+                lambda: beliefs.position,
             ),
         )
         await follower.run()
@@ -268,6 +270,8 @@
         now, roster = _now(), self.fleet.rosters[host]
         if roster.relay(now) == host:
             return True
+        if self.fleet.by_host[host].lacks_configuration():
+            return True
         limit_ms = _STORE_AGE_MS + _STORE_AGE_PER_RANK_MS * (
             roster.rank_in_zone(now)
         )
