Begin the search for other hosts anew when all are forgotten

Ruled out: a host that leads, which counts its followers.

Change: the search ends wherever another host is known.

Measured: test_a_host_that_has_lost_all_others_searches_for_them_again failed before.

--- a/oleanderridge/membership/roster.py
+++ b/oleanderridge/membership/roster.py
@@ -363,6 +363,8 @@
         Hosts that have been silent for longer than ``forget_s`` are removed.
         """
         self._remove_expired(now)
+        if self._by_host:
+            self.discovery.end()
         return len(self._by_host) + 1
 
     def followed_fraction(self, now: float) -> float:
@@ -374,7 +376,6 @@
         known = self.known_host_count(now)
         if known == 1:
             return 1 / self.discovery.assumed_hosts(now)
-        self.discovery.end()
         cutoff = now - _FOLLOWER_EXPIRY_BEATS * self._peers['beat_s']
         followers = sum(at >= cutoff for at in self._last_followed_at.values())
         return (1 + followers) / known
--- a/tests/test_roster.py
+++ b/tests/test_roster.py
@@ -255,3 +255,14 @@
         assert len(roster.alive(now)) == 2
         roster.mark_removed(['10.0.0.2'], now)
         assert len(roster.alive(now)) == 1
+
+
+def test_a_host_that_has_lost_all_others_searches_for_them_again():
+    """Guards against a lone host that keeps the search of its start."""
+    roster = _roster()
+    alone_at_start = roster.followed_fraction(10)
+    roster.on_beat(_beat('10.0.0.2', 3), 10.5)
+    assert roster.known_host_count(10.6) == 2
+    assert roster.known_host_count(40) == 1
+    assert roster.followed_fraction(40) == alone_at_start
+    assert roster.followed_fraction(50) > alone_at_start
