End a host in time although callers keep connections open

Cause: at 0.93 of the limit the drain went on to wait, until 0.97, for connections whose callers had their answers and kept them open; 0.09 s were left for the process to end.

Change: after the drain only unsent answers are waited for, and the drain ends 0.4 s before the limit at the latest. For limits of 6 s and more its end is as it was.

--- a/oleanderridge/gateway/process.py
+++ b/oleanderridge/gateway/process.py
@@ -59,10 +59,12 @@
 _STORE_AGE_MAX_MS: Final = 2500
 # Fractions of the shutdown time limit. Until the first, new connections are
 # still accepted, because callers may use cached addresses; until the second,
-# running requests may finish; until the third, answers may be sent.
+# running requests may finish; for the third, answers may be sent after that.
 _ACCEPT_FRACTION: Final = 0.72
 _DRAIN_FRACTION: Final = 0.93
-_FLUSH_FRACTION: Final = 0.97
+_FLUSH_FRACTION: Final = 0.04
+# A process needs this long to end, however short the limit is.
+_EXIT_TIME_S: Final = 0.4
 _CONNECT_TIMEOUT_S: Final = 0.12
 _BUFFER_FRACTION: Final = 0.25
 _MEGABYTE: Final = 1_000_000
@@ -429,14 +431,15 @@
         self._sync.announce()
         self._sync.beat()
         self._callers.begin_closing()
-        end_at = began + _DRAIN_FRACTION * stop_s
+        drain_s = max(0, min(_DRAIN_FRACTION * stop_s, stop_s - _EXIT_TIME_S))
+        end_at = began + drain_s
         self._forwarder.begin_draining(end_at)
-        await asyncio.sleep(_ACCEPT_FRACTION * stop_s)
+        await asyncio.sleep(min(_ACCEPT_FRACTION * stop_s, drain_s))
         self._callers.stop_listening()
         if not await self._callers.wait_closed(end_at):
             self._forwarder.interrupt()
             self._callers.refuse_unread()
-            await self._callers.wait_closed(began + _FLUSH_FRACTION * stop_s)
+            await self._callers.wait_sent(end_at + _FLUSH_FRACTION * stop_s)
         log_event(
             _LOGGER,
             'drain-ended',
--- a/oleanderridge/http1/server.py
+++ b/oleanderridge/http1/server.py
@@ -119,6 +119,29 @@
             await asyncio.sleep(_CLOSE_POLL_S)
         return not self.connections
 
+    async def wait_sent(self, until: float) -> bool:
+        """Wait until no request is being handled and no answer is unsent.
+
+        Callers that have their answers may keep their connections open.
+
+        Parameters
+        ----------
+        until : float
+            Loop time in seconds at which the wait ends at the latest.
+
+        Returns
+        -------
+        bool
+            Whether nothing is left.
+        """
+        loop = asyncio.get_running_loop()
+        while self._has_unsent_answers() and loop.time() < until:  # noqa: ASYNC110
+            await asyncio.sleep(_CLOSE_POLL_S)
+        return not self._has_unsent_answers()
+
+    def _has_unsent_answers(self) -> bool:
+        return self.live() > 0 or self.unsent_bytes() > 0
+
     def refuse_unread(self) -> None:
         """Refuse the requests of which only a part has arrived."""
         for connection in tuple(self.connections):
--- a/tests/test_http1_server.py
+++ b/tests/test_http1_server.py
@@ -285,3 +285,20 @@
     received = _run_conversation(conversation)
     assert received.endswith(b'GET /2')
     assert b'connection: close' in received.lower()
+
+
+def test_a_caller_that_has_its_answer_delays_no_end():
+    """Guards against a host that is killed while it waits for idle callers."""
+
+    async def conversation(edge, reader, writer):
+        edge.begin_closing()
+        writer.write(b'GET /1 HTTP/1.1\r\nhost: h\r\n\r\n')
+        await _read_response(reader)
+        # The caller keeps its side open.
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        assert await edge.wait_sent(began + 0.8)
+        assert edge.connections
+        return loop.time() - began
+
+    assert _run_conversation(conversation) < 0.5
