--- a/review/kit2/rig.py
+++ b/review/kit2/rig.py
@@ -179,7 +179,7 @@
                 if work.result() is False:
                     return
                 await writer.drain()
-        except (OSError, EOFError, ValueError):
+        except (OSError, EOFError, ValueError, asyncio.CancelledError):
             pass
         finally:
             self._writers.discard(writer)
