--- a/review/6/case.py
+++ b/review/6/case.py
@@ -29,6 +29,9 @@
 SEEDS = HOSTS[:3]
 FROZEN, KILLED = HOSTS[0], HOSTS[1:]
 FROZEN_S = 3.0
+# The upstreams write their entries every 1.5 s, all at once. Just after that a
+# host has no watch of the store pending, and the rule holds.
+AFTER_WRITES_S = 1.1
 # Processes that are killed are "restarted after a short delay".
 RESTART_S = 0.8
 # The upstream serves for drain_s "and a little longer (at times many seconds)".
@@ -49,6 +52,13 @@
         await asyncio.sleep(0.04)
 
 
+async def next_writes(upstream):
+    """Wait until an upstream writes its entry once more."""
+    former = upstream.sequence
+    while upstream.sequence == former:
+        await asyncio.sleep(0.01)
+
+
 async def start(rig, number):
     await rig.start_host(number, SEEDS, zone=ZONE_BY_HOST[number])
 
@@ -81,6 +91,8 @@
             for kind in ('safe', 'unsafe')
         ]
         await asyncio.sleep(1)
+        await next_writes(rig.upstreams[-1])
+        await asyncio.sleep(AFTER_WRITES_S)
         began_at = now()
         if rig.trouble:
             rig.kill(FROZEN, signal.SIGSTOP)
