--- a/review/8/case.py
+++ b/review/8/case.py
@@ -23,7 +23,7 @@
 
 HOSTS = (1, 2, 3)
 SEED = 1
-# Of the site file: garble has a share of 0.6 and x = 0.03 for 5 s.
+# Of the site file: garble with x = 0.05 for 5 s, its share being 0.5 by default.
 FAULTY, CHARTS = 3, 6
 SPOILED_SHARE = 0.05
 FAULT_S = 5.0
