--- a/review/8/case.py
+++ b/review/8/case.py
@@ -76,7 +76,7 @@
         return type(error).__name__
     finally:
         rig.record(f'{attempt}: ends after {received} bytes')
-        sock.close() if writer is None else writer.close()
+        (writer or sock).close()
 
 
 async def play(folder):
