--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,7 +1,7 @@
-"""Requesters that read large answers slowly take hosts over their memory."""
+"""Answers in small chunks without end hold the loop of the hosts."""
 
 import asyncio
-import socket
+import random
 import sys
 from collections import Counter
 from pathlib import Path
@@ -9,122 +9,141 @@
 HERE = Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent / 'kit2'))
 
-from memory import KeptLoad, MemoryLimit, judge  # noqa: E402
 from rig import (  # noqa: E402
+    Requester,
     Rig,
     Upstream,
     configuration,
     main,
     message,
     now,
-    read_head,
     route,
     tenant,
 )
 
 HOSTS = (1, 2, 3)
-KEPT_PER_HOST = 16
-# The site's requesters ask for 17.5 charts a second.
-DOWNLOADS_PER_S = 12
-DOWNLOADING_S = 14.0
-ANSWER_BYTES = 8_000_000
-DOWNLOAD_S = 60.0
-# A link of 2 Mbit/s; a whole answer takes 32 s.
-SLOW_BYTES_PER_S = 2_000_000 / 8
-# As on a network: segments of Ethernet's size and a small window.
-SEGMENT_BYTES = 1400
-WINDOW_BYTES = 65536
-
-
-async def download(rig, number):
-    """Read one answer at the pace of the requester's link; return its end."""
-    attempt = rig.new_attempt()
-    fields = {
-        'Host': 'shop.example',
-        'Authorization': 'Token key-1',
-        'Oleanderridge-Attempt-Id': attempt,
-        'Oleanderridge-Deadline-Ms': int(DOWNLOAD_S * 1000),
-    }
-    rig.record(f'{attempt}: a download by host {number} begins')
-    sock = socket.socket()
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, SEGMENT_BYTES)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, WINDOW_BYTES)
-    sock.setblocking(False)
-    received, writer = 0, None
-    try:
-        async with asyncio.timeout(DOWNLOAD_S):
-            loop = asyncio.get_running_loop()
-            await loop.sock_connect(sock, rig.caller(number))
-            reader, writer = await asyncio.open_connection(
-                sock=sock, limit=WINDOW_BYTES
-            )
-            writer.write(message('GET /d/1 HTTP/1.1', fields))
-            head = await read_head(reader)
-            if head is None:
-                return 'closed without an answer'
-            length, began = int(head.headers['content-length']), now()
-            while received < length:
-                part = await reader.read(WINDOW_BYTES)
-                if not part:
-                    return 'broken off'
-                received += len(part)
-                if rig.trouble:
-                    due = began + received / SLOW_BYTES_PER_S
-                    await asyncio.sleep(due - now())
-            return f'{head.first[1]}, whole'
-    except (OSError, EOFError) as error:
-        return type(error).__name__
-    finally:
-        rig.record(f'{attempt}: ends after {received} bytes')
-        (writer or sock).close()
+SEED = 1
+# Of the site file: garble with x = 0.05 for 5 s, its share being 0.5 by default.
+FAULTY, CHARTS = 3, 6
+SPOILED_SHARE = 0.05
+FAULT_S = 5.0
+# Timeouts of the routes and time limits of the requesters are the site's.
+TIMEOUT_S = {'search': 2.0, 'order': 1.2, 'chart': 2.5}
+LIMIT_S = {'search': 2.0, 'order': 2.5, 'chart': 2.5}
+SLACK_S = 0.5
+CHUNKS = b'1\r\nx\r\n' * 4096
+
+
+class Old(Upstream):
+    """Spoils some answers: a body of small chunks that never ends."""
+
+    spoils = False
+    spoiled = 0
+
+    async def answer(self, head, body, writer):
+        rng = self._rig.rng
+        if not self.spoils or rng.random() >= SPOILED_SHARE:
+            return await super().answer(head, body, writer)
+        attempt = head.headers.get('oleanderridge-attempt-id', '')
+        self.spoiled += 1
+        self.runs.append((now(), attempt, head, len(body)))
+        self._rig.record(f'{self.name} runs {attempt} and spoils the answer')
+        headers = {
+            'Oleanderridge-Attempt-Id': attempt,
+            'Oleanderridge-Response-Signature': f'sig.{attempt}',
+            'Transfer-Encoding': 'chunked',
+        }
+        writer.write(message('HTTP/1.1 200 OK', headers))
+        while True:
+            writer.write(CHUNKS)
+            await writer.drain()
+
+
+async def load(rig, number, stop, replies):
+    """Send requests to one host, one after the other."""
+    while not stop.is_set():
+        kind = rig.rng.choice(('order',) * 7 + ('search',) + ('chart',) * 2)
+        method = 'POST' if kind == 'order' else 'GET'
+        sent_at = now()
+        requester = Requester(rig, number)
+        # The requester waits longer than it says, to see what comes when.
+        reply = await requester.send(
+            f'/{kind}/1', method, limit_s=LIMIT_S[kind]
+        )
+        took_s = now() - sent_at
+        rig.record(f'{reply.attempt} {kind} by host {number}: {reply.status} '
+                   f'{reply.error} after {took_s:.3f} s')  # fmt: skip
+        replies.append((kind, sent_at, took_s, reply))
+        requester.close()
+        await asyncio.sleep(0.02)
 
 
 async def play(folder):
     async with Rig(folder) as rig:
+        rig.rng = random.Random(SEED)
         rig.store.configure(
             configuration(
                 5,
                 [
-                    route('orders', '/o/', 'unsafe', 'sett', 2.0),
-                    route('charts', '/d/', 'download', 'charts', DOWNLOAD_S),
+                    route('searches', '/search/', 'safe', 'sett', 2.0),
+                    route('orders', '/order/', 'unsafe', 'sett', 1.2),
+                    route(
+                        'charts', '/chart/', 'download', 'charts', 2.5,
+                        max_attempts=1,
+                    ),  # fmt: skip
                 ],
                 [tenant('t', ['key-1'])],
             )
         )
-        for index in range(6):
-            await Upstream(rig, f'i-{index}', 'sett', 10, 0.5).start()
-        for index in range(6):
-            upstream = Upstream(rig, f'c-{index}', 'charts', 2, 0.077)
-            upstream.answer_bytes = ANSWER_BYTES
+        setts = [Upstream(rig, f'i-{each}', 'sett', 12) for each in range(6)]
+        charts = [Old(rig, f'c-{each}', 'charts', 6) for each in range(CHARTS)]
+        for upstream in (*setts, *charts):
             await upstream.start()
         for number in HOSTS:
             await rig.start_host(number, HOSTS)
         await rig.until_ready(HOSTS)
         await asyncio.sleep(3)
 
-        limit, load = MemoryLimit(rig, HOSTS), KeptLoad(rig)
-        watch = asyncio.ensure_future(limit.run())
+        stop, replies = asyncio.Event(), []
         callers = [
-            asyncio.ensure_future(load.send_orders(number))
+            asyncio.ensure_future(load(rig, number, stop, replies))
             for number in HOSTS
-            for _ in range(KEPT_PER_HOST)
+            for _ in range(14)
         ]
-        # All hosts have been in touch for contact_s.
+        await asyncio.sleep(3)
+        rig.record('the fault begins')
+        for upstream in charts[:FAULTY]:
+            upstream.spoils = rig.trouble
+        await asyncio.sleep(FAULT_S)
+        rig.record('the fault ends')
+        for upstream in charts[:FAULTY]:
+            upstream.spoils = False
         await asyncio.sleep(4)
-        downloads, until = [], now() + DOWNLOADING_S
-        while now() < until:
-            number = HOSTS[len(downloads) % len(HOSTS)]
-            downloads.append(asyncio.ensure_future(download(rig, number)))
-            await asyncio.sleep(1 / DOWNLOADS_PER_S)
-        await asyncio.sleep(1.5)
-        ends = [each.result() if each.done() else 'open' for each in downloads]
-        rig.record.show(f'downloads: {dict(Counter(ends))}')
-        for each in downloads:
-            each.cancel()
-        load.stop.set()
-        await asyncio.gather(*callers, *downloads, return_exceptions=True)
-        watch.cancel()
-        return judge(rig, limit, load)
+        stop.set()
+        await asyncio.gather(*callers)
+
+        spoiled = sum(upstream.spoiled for upstream in charts)
+        served = sum(len(upstream.runs) for upstream in charts[:FAULTY])
+        # With a time limit of the requester at or before the route's timeout
+        # there is nothing to see: only the orders wait for longer.
+        orders = [each for each in replies if each[0] == 'order']
+        over = [each for each in orders if each[2] > TIMEOUT_S['order']]
+        late = [
+            each for each in over if each[2] > TIMEOUT_S['order'] + SLACK_S
+        ]
+        for kind in TIMEOUT_S:
+            mine = [each for each in replies if each[0] == kind]
+            statuses = Counter(
+                each[3].status or each[3].error for each in mine
+            )
+            longest = max(each[2] for each in mine)
+            rig.record.show(f'{kind}: {dict(statuses)}, at most {longest:.2f} s')
+        rig.record.show(f'{spoiled} answers of {served} were spoiled')
+        rig.record.show(
+            f'CONFIG: {len(over)} orders lasted longer than their timeout, '
+            f'{len(late)} of them had no final answer {SLACK_S} s after it'
+        )
+        return len(late) >= 8 and len(late) > len(over) / 4
 
 
 main(play, HERE)
