Wait for the lease of a running host in its status scenario

Cause: the scenario asks for the lease as soon as each host answers a request.

Ruled out: a fault of the host. The design promises a lease once a majority has stated the current list, not with the first answer.

Change: the step repeats the status until a lease is shown, for 5 s at most, as the other scenarios on leases state, and then checks the exit status, readiness, lease and members of the last status as before. A host that gets no lease still fails it.

--- a/features/process_operator.feature
+++ b/features/process_operator.feature
@@ -3,7 +3,7 @@
 
   Scenario: Status, resolve and metrics of a running host
     Given a fleet of 3 hosts
-    Then the status command shows host-a ready with a lease
+    Then the status command shows host-a ready with a lease in 5 s
     And the status command is refused without a token
     And the resolve command names 3 hosts and never a key
     And the metrics of host-a name no workspace
--- a/features/steps/operator_steps.py
+++ b/features/steps/operator_steps.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+import contextlib
 import json
 import os
 import sys
@@ -35,21 +36,29 @@
     return f'http://{LOOPBACK}:{context.fleet.ports[host].admin}'
 
 
-def _status(context, host, token):
-    return context.run(
-        _command(
-            'status',
-            '--admin',
-            _admin_url(context, host),
-            '--json',
-            OLEANDERRIDGE_ADMIN_TOKEN=token,
-        )
+async def _status(context, host, token):
+    return await _command(
+        'status',
+        '--admin',
+        _admin_url(context, host),
+        '--json',
+        OLEANDERRIDGE_ADMIN_TOKEN=token,
     )
 
 
-@then('the status command shows {host} ready with a lease')
-def then_status(context, host):
-    code, output, errors = _status(context, host, _ADMIN_TOKEN)
+@then('the status command shows {host} ready with a lease in {seconds:d} s')
+def then_status(context, host, seconds):
+    # A host answers requests with tokens of others before it has a lease.
+    shown = {}
+
+    async def has_lease():
+        shown['result'] = await _status(context, host, _ADMIN_TOKEN)
+        code, output, _ = shown['result']
+        return not code and json.loads(output)['lease_remaining_s'] > 0
+
+    with contextlib.suppress(TimeoutError):
+        context.run(wait_until(has_lease, seconds, f'a lease of {host}'))
+    code, output, errors = shown['result']
     assert code == 0, errors
     state = json.loads(output)
     assert state['ready'], state
@@ -59,7 +68,7 @@
 
 @then('the status command is refused without a token')
 def then_refused(context):
-    code, output, errors = _status(context, 'host-a', 'another')
+    code, output, errors = context.run(_status(context, 'host-a', 'another'))
     assert code == 1, (code, output)
     assert '401' in errors, errors
 
