Answer hosts that are behind the first list with all targets

Cause: a position is a claim that all changes up to it are known. Hosts that began with a list have no tombstones from before it, yet answered a host that was behind with changes alone; that host took their position with the removed target still in its table, and its watch of the store went on behind the removal.

Ruled out: the store (the removal is in its history), the checksum (it differed, and spread the outdated entry in whole lists), dropped tombstones (none were, though they would do the same).

Change: the table knows from where on it knows all removals, with gaps where it took a position over; others get all targets. What the own position covers is taken from nobody, contradictions lead to a list of the store, at most once in 5 s. The model of the fleet can freeze and restart hosts.

--- a/oleanderridge/config/follower.py
+++ b/oleanderridge/config/follower.py
@@ -37,6 +37,8 @@
 _IDLE_S: Final = 0.1
 # An absence shorter than this ends no leases of targets.
 _OUTAGE_LEAST_S: Final = 0.4
+# Least time between two lists that check the table against the store.
+_CHECK_INTERVAL_S: Final = 5.0
 _EVERYTHING: Final = ''
 
 
@@ -87,6 +89,8 @@
         self._lost_at: float = 0
         self._back_at: float = 0
         self._needs_list = True
+        self._needs_check = False
+        self._check_after: float = 0
         self._listed_again = 0
         self._watched_to = NO_POSITION
         self.reachable = True
@@ -94,7 +98,8 @@
     async def run(self) -> None:
         """Follow until cancelled."""
         while True:
-            if not self._ports.should_read_store():
+            self._check_if_contradicted()
+            if not (self._needs_check or self._ports.should_read_store()):
                 # What changes meanwhile comes from peers.
                 await asyncio.sleep(_IDLE_S)
                 continue
@@ -111,8 +116,23 @@
             self._on_fault(fault)
             await asyncio.sleep(_backoff_s(self._failures))
 
+    def _check_if_contradicted(self) -> None:
+        """List the store again when another host's targets contradict ours."""
+        now = _now()
+        if not self._table.needs_check or now < self._check_after:
+            return
+        self._check_after = now + _CHECK_INTERVAL_S
+        self._needs_check = True
+        log_event(
+            _LOGGER,
+            'targets-contradicted',
+            logging.WARNING,
+            era=self._table.position.era,
+            revision=self._table.position.revision,
+        )
+
     async def _step(self) -> StoreFault | None:
-        if self._needs_list:
+        if self._needs_list or self._needs_check:
             return await self._list()
         known = max(self._watched_to, self._ports.known_position())
         watched = await self._client.watch(
@@ -143,6 +163,7 @@
         self._on_word()
         page = listed.ok_value
         self._needs_list = False
+        self._needs_check = False
         former = self._watched_to
         if former != NO_POSITION and page.position.era > former.era:
             self._on_restored(page.position)
--- a/oleanderridge/gateway/beliefs.py
+++ b/oleanderridge/gateway/beliefs.py
@@ -118,7 +118,7 @@
         position : StorePosition
             Of the store, or of a host with the same targets and configuration.
         """
-        self.position = max(self.position, position)
+        self.position = max(self.position, min(position, self.table.position))
 
     def known_revision(self) -> int:
         """Return the known revision in the table's era, or 0."""
--- a/oleanderridge/gateway/fleet_sync.py
+++ b/oleanderridge/gateway/fleet_sync.py
@@ -16,7 +16,12 @@
 from oleanderridge.gateway.packing import pack, unpack
 from oleanderridge.gateway.peers import Datagrams, fetch_sync
 from oleanderridge.gateway.store_position import StorePosition
-from oleanderridge.gateway.target_sync import apply_targets, targets_reply
+from oleanderridge.gateway.target_sync import (
+    adopt_position,
+    apply_targets,
+    last_removal_revision,
+    targets_reply,
+)
 from oleanderridge.generated.fleet import (
     Beat,
     RetryUse,
@@ -322,6 +327,7 @@
             crashes=news.crashes,
             blocked=news.blocked,
             known_revision=self._beliefs.known_revision(),
+            last_removal=last_removal_revision(self._beliefs.table),
         )
 
     def _current_advice(self, now: float) -> _Advice:
@@ -367,7 +373,7 @@
             self._start_fetch(beat.host)
         table = self._beliefs.table
         if not self._has_other_targets(beat):
-            table.advance(_position_of(beat))
+            adopt_position(table, beat)
             if beat.config_version == self._beliefs.version():
                 self._beliefs.confirm(now - beat.store_age_ms / 1000)
                 self._advance(beat)
@@ -458,9 +464,9 @@
         reply = fetched.ok_value
         now = _now()
         self._apply_members(host, reply, now)
-        before = self._beliefs.table.digest
-        apply_targets(self._beliefs.table, reply, now + self._return_grace_s)
-        if self._beliefs.table.digest != before:
+        before = table.digest
+        apply_targets(table, reply, now + self._return_grace_s)
+        if table.digest != before:
             self._beliefs.on_targets()
         self._apply_config(host, reply)
         # A document that could not be read leaves the version as it was.
--- a/oleanderridge/gateway/target_sync.py
+++ b/oleanderridge/gateway/target_sync.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import Final
+
 from oleanderridge.gateway.model import DRAINING, TargetRecord
 from oleanderridge.gateway.store_position import (
     NO_POSITION,
@@ -9,17 +11,21 @@
     StorePosition,
 )
 from oleanderridge.gateway.target_table import (
+    MAX_REMOVALS_SHARED,
     TargetChanges,
     TargetTable,
     Tombstone,
 )
 from oleanderridge.generated.fleet import (
+    Beat,
     RemovedTarget,
     SyncReply,
     SyncRequest,
     TargetEntry,
 )
 
+_NO_CHANGES: Final = TargetChanges([], {})
+
 
 def targets_reply(
     table: TargetTable, request: SyncRequest, age_ms: int
@@ -38,15 +44,19 @@
     Returns
     -------
     SyncReply
-        The whole table if the changes since then aren't known.
+        The whole table if the changes since then aren't known, or contradict
+        what the other host has.
     """
     known = StorePosition(request.store_era, request.targets_revision)
-    same_era = known.era == table.position.era
-    whole = not same_era or known >= table.position or not known.revision
-    if same_era and request.targets_digest == table.digest:
-        changes, whole = TargetChanges([], {}), False
-    else:
-        changes = table.since(NO_POSITION if whole else known)
+    changes = _changes_since(table, known, request.targets_digest)
+    whole, unstated = False, known.revision
+    if changes is None:
+        unstated = last_removal_revision(table)
+        whole = (known.era, request.targets_digest) != (
+            table.position.era,
+            table.digest,
+        )
+        changes = table.since(NO_POSITION) if whole else _NO_CHANGES
     return SyncReply(
         b'',
         table.position.revision,
@@ -60,9 +70,47 @@
             _removal_to_entry(target, tombstone)
             for target, tombstone in changes.removed.items()
         ],
+        last_removal=unstated,
+        targets_digest=table.digest,
     )
 
 
+def last_removal_revision(table: TargetTable) -> int:
+    """Return the revision of the last removal in the table's era, or 0."""
+    last = table.last_removal
+    return last.revision if last.era == table.position.era else 0
+
+
+def adopt_position(table: TargetTable, known: Beat | SyncReply) -> None:
+    """Take over the position of a host with the same targets.
+
+    Parameters
+    ----------
+    table : TargetTable
+        What this host knows.
+    known : Beat or SyncReply
+        From the other host. One that states no last removal may have had one
+        at its position.
+    """
+    position = StorePosition(known.store_era, known.targets_revision)
+    last_removal = StorePosition(known.store_era, known.last_removal)
+    table.adopt(position, last_removal if known.last_removal else position)
+
+
+def _changes_since(
+    table: TargetTable, known: StorePosition, digest: int
+) -> TargetChanges | None:
+    """Return what a host lacks, or None if it needs everything."""
+    if not known.revision or not table.knows_changes_since(known):
+        return None
+    if known == table.position and digest != table.digest:
+        # One of both is wrong.
+        return None
+    changes = table.since(known)
+    too_many = len(changes.removed) > MAX_REMOVALS_SHARED
+    return None if too_many else changes
+
+
 def apply_targets(table: TargetTable, reply: SyncReply, until: float) -> None:
     """Apply the targets of another host's reply.
 
@@ -79,21 +127,37 @@
     records = [_record_from_entry(entry) for entry in reply.targets]
     position = StorePosition(reply.store_era, reply.targets_revision)
     if reply.whole:
-        former = table.position
-        restored = former != NO_POSITION and position.era > former.era
-        for target in table.replace(records, position):
-            if restored and table.by_id[target].state != DRAINING:
-                table.postpone_removal(target, position, until)
-            else:
-                table.remove(target, position)
+        _apply_whole(table, records, position, until)
     else:
         for record in records:
             table.put(record)
-        for target in reply.removed:
-            table.remove(target, position)
-        table.advance(position)
     for entry in reply.removals:
         table.merge_removal(*_removal_from_entry(entry))
+    if reply.whole:
+        return
+    if not reply.removals:
+        # Hosts of before name removals without their positions.
+        for target in reply.removed:
+            table.remove(target, position)
+    adopt_position(table, reply)
+    differs = reply.targets_digest not in {0, table.digest}
+    if differs and table.position == position:
+        table.needs_check = True
+
+
+def _apply_whole(
+    table: TargetTable,
+    records: list[TargetRecord],
+    position: StorePosition,
+    until: float,
+) -> None:
+    former = table.position
+    restored = former != NO_POSITION and position.era > former.era
+    for target in table.merge_list(records, position):
+        if restored and table.by_id[target].state != DRAINING:
+            table.postpone_removal(target, position, until)
+        else:
+            table.remove(target, position)
 
 
 def _record_to_entry(record: TargetRecord) -> TargetEntry:
--- a/oleanderridge/gateway/target_table.py
+++ b/oleanderridge/gateway/target_table.py
@@ -17,8 +17,10 @@
 # Maximum number of tombstones, which prevent outdated updates from restoring
 # a removed target.
 _MAX_TOMBSTONES: Final = 4096
-# The newest tombstones are passed on to a host that gets all records.
-_MAX_TOMBSTONES_SHARED: Final = 256
+# The newest tombstones are passed on to a host that gets all records. One that
+# lacks more removals than that gets all records.
+MAX_REMOVALS_SHARED: Final = 256
+_MAX_GAPS: Final = 32
 
 
 class Tombstone(NamedTuple):
@@ -35,6 +37,13 @@
     until: float
 
 
+class _Gap(NamedTuple):
+    """Positions between which removals of short-lived targets are unknown."""
+
+    after: StorePosition
+    before: StorePosition
+
+
 class TargetChanges(NamedTuple):
     """Records, and removals by target."""
 
@@ -63,6 +72,10 @@
         self._lapse_s = lapse_s
         self._digest: int | None = None
         self._tombstones: dict[str, Tombstone] = {}
+        self.needs_check = False
+        self._removals_from = NO_POSITION
+        self._last_removal = NO_POSITION
+        self._gaps: list[_Gap] = []
         self._postponed: dict[str, _PostponedRemoval] = {}
         # Entries of a copy whose targets are known to be removed.
         self._withheld: dict[str, TargetRecord] = {}
@@ -83,6 +96,11 @@
             self._digest = crc32(text.encode())
         return self._digest
 
+    @property
+    def last_removal(self) -> StorePosition:
+        """Last position at which a target may have been removed."""
+        return max(self._last_removal, self._removals_from)
+
     def put(self, record: TargetRecord) -> bool:
         """Insert or update a record.
 
@@ -96,16 +114,16 @@
         bool
             False if something newer is known.
         """
-        return self._put(record, record.position.era)
+        return self._put(record, self.position)
 
-    def _put(self, record: TargetRecord, source_era: int) -> bool:
+    def _put(self, record: TargetRecord, known_to: StorePosition) -> bool:
         target = record.target
         removal = self._postponed.get(target)
         if removal is not None and record.position > removal.position:
             del self._postponed[target]
         known = self.by_id.get(target)
         if known is None:
-            if not self._may_insert(record, source_era):
+            if not self._may_insert(record, known_to):
                 return False
         elif not replaces(record.statement(), known.statement()):
             return False
@@ -242,10 +260,48 @@
         is_restored = position.era > self.position.era
         self.position = max(self.position, position)
         if is_restored:
+            self._removals_from = self.position
+            self._gaps.clear()
             self._keeps_former_removals = True
             self._former_removals_until = None
             self._digest = None
 
+    def adopt(
+        self, position: StorePosition, last_removal: StorePosition
+    ) -> None:
+        """Take over the position of a host with the same records.
+
+        Parameters
+        ----------
+        position : StorePosition
+            Up to where that host knows the store.
+        last_removal : StorePosition
+            Its last removal: of a target that this host may never have known.
+        """
+        former = self.position
+        self.advance(position)
+        if former.era == position.era and last_removal > former:
+            self._add_gap(former, min(last_removal, position))
+
+    def knows_changes_since(self, position: StorePosition) -> bool:
+        """Return whether all changes after a position are known.
+
+        Parameters
+        ----------
+        position : StorePosition
+            Position that another host has.
+
+        Returns
+        -------
+        bool
+            False if that host may have targets whose removal is unknown here.
+        """
+        if position.era != self.position.era:
+            return False
+        if not self._removals_from <= position <= self.position:
+            return False
+        return not any(gap.after < position < gap.before for gap in self._gaps)
+
     def since(self, position: StorePosition) -> TargetChanges:
         """Return the changes after a position.
 
@@ -257,8 +313,9 @@
         Returns
         -------
         TargetChanges
-            The newest removals only. Withheld records are included, since a
-            target that a list lacks counts as removed.
+            All removals after the position, the newest ones if everything is
+            asked for. Withheld records are included, since a target that a
+            list lacks counts as removed.
         """
         records = [
             record
@@ -270,7 +327,9 @@
             for target, tombstone in self._tombstones.items()
             if tombstone.position > position
         }
-        newest = list(removed)[-_MAX_TOMBSTONES_SHARED:]
+        if position != NO_POSITION:
+            return TargetChanges(records, removed)
+        newest = list(removed)[-MAX_REMOVALS_SHARED:]
         return TargetChanges(
             records, {target: removed[target] for target in newest}
         )
@@ -278,7 +337,7 @@
     def replace(
         self, records: Iterable[TargetRecord], position: StorePosition
     ) -> list[str]:
-        """Apply a full list of targets and return the ids that it lacks.
+        """Apply a list of the store and return the ids that it lacks.
 
         Parameters
         ----------
@@ -292,12 +351,64 @@
         list of str
             Known targets that are not in the list and not newer.
         """
+        former = self.position
+        # One that was on its way while newer changes arrived adds nothing.
+        is_newest = position >= former
+        known_to = NO_POSITION if is_newest else former
+        records = list(records)
+        if is_newest:
+            self.needs_check = False
+            for listed in records:
+                self._drop_refuted_removal(listed, position)
+        return self._apply_list(records, position, known_to)
+
+    def merge_list(
+        self, records: Iterable[TargetRecord], position: StorePosition
+    ) -> list[str]:
+        """Apply all records of another host and return the ids that it lacks.
+
+        Parameters
+        ----------
+        records : iterable of TargetRecord
+            All targets that the other host knows.
+        position : StorePosition
+            Its position.
+
+        Returns
+        -------
+        list of str
+            Known targets that are not in the list and not newer; none if this
+            host is further ahead than the other one.
+        """
+        former, records = self.position, list(records)
+        if position < former:
+            for outdated in records:
+                self._put(outdated, former)
+            return []
+        if any(self._contradicts(record) for record in records):
+            self.needs_check = True
+        missing = self._apply_list(records, position, former)
+        if position == former and missing:
+            self.needs_check = True
+        return missing
+
+    def _apply_list(
+        self,
+        records: Iterable[TargetRecord],
+        position: StorePosition,
+        known_to: StorePosition,
+    ) -> list[str]:
+        former = self.position
         # Records of a copy must be known as such when they are put.
         self.advance(position)
+        if former == NO_POSITION:
+            self._removals_from = self.position
+        elif former.era == position.era and position > former:
+            self._add_gap(former, position)
         listed = set()
         for record in records:
             listed.add(record.target)
-            self._put(record, position.era)
+            self._put(record, known_to)
         for unlisted in self._withheld.keys() - listed:
             self._confirm_removal(unlisted, position)
         return [
@@ -306,11 +417,45 @@
             if target not in listed and known.position <= position
         ]
 
-    def _may_insert(self, record: TargetRecord, source_era: int) -> bool:
+    def _drop_refuted_removal(
+        self, listed: TargetRecord, position: StorePosition
+    ) -> None:
+        """Forget a removal that a later list of the store does not confirm."""
+        tombstone = self._tombstones.get(listed.target)
+        if tombstone is None or tombstone.position.era != position.era:
+            return
+        if listed.position <= tombstone.position <= position:
+            del self._tombstones[listed.target]
+
+    def _contradicts(self, record: TargetRecord) -> bool:
+        """Return whether a record's target should be known by the position."""
+        return (
+            record.position <= self.position
+            and record.position.era == self.position.era
+            and record.target not in self.by_id
+            and record.target not in self._tombstones
+        )
+
+    def _add_gap(self, after: StorePosition, before: StorePosition) -> None:
+        self._gaps.append(_Gap(after, before))
+        if len(self._gaps) > _MAX_GAPS:
+            self._forget_removals_to(self._gaps[0].before)
+
+    def _forget_removals_to(self, position: StorePosition) -> None:
+        self._removals_from = max(self._removals_from, position)
+        self._gaps = [
+            gap for gap in self._gaps if gap.before > self._removals_from
+        ]
+
+    def _may_insert(
+        self, record: TargetRecord, known_to: StorePosition
+    ) -> bool:
+        if record.position <= known_to:
+            # Also a list of a former era may hold what the store has no longer.
+            return False
         tombstone = self._tombstones.get(record.target)
         if tombstone is None:
-            # A list of a former era may hold what the store has no longer.
-            return source_era >= self.position.era
+            return True
         if record.position <= tombstone.position:
             return False
         if not self._is_of_the_copy(record, tombstone):
@@ -336,6 +481,7 @@
         tombstone = self._tombstones.get(target)
         if tombstone is not None and tombstone.position < position:
             self._tombstones[target] = tombstone._replace(position=position)
+            self._last_removal = max(self._last_removal, position)
 
     def _bury(self, target: str, tombstone: Tombstone) -> None:
         del self.by_id[target]
@@ -344,10 +490,12 @@
         self._digest = None
 
     def _add_tombstone(self, target: str, tombstone: Tombstone) -> None:
+        self._tombstones.pop(target, None)
         self._tombstones[target] = tombstone
+        self._last_removal = max(self._last_removal, tombstone.position)
         while len(self._tombstones) > _MAX_TOMBSTONES:
             oldest = next(iter(self._tombstones))
-            del self._tombstones[oldest]
+            self._forget_removals_to(self._tombstones.pop(oldest).position)
 
     def _end_former_removals(self, now: float) -> list[str]:
         if not self._keeps_former_removals:
@@ -358,7 +506,11 @@
             return []
         self._keeps_former_removals = False
         withheld = list(self._withheld.values())
-        return [record.target for record in withheld if self.put(record)]
+        return [
+            record.target
+            for record in withheld
+            if self._put(record, NO_POSITION)
+        ]
 
 
 def _position_text(position: StorePosition, current_era: int) -> str:
--- a/tests/gossip_model.py
+++ b/tests/gossip_model.py
@@ -43,6 +43,32 @@
         super()._run_once()
 
 
+class _Pausable:
+    """Runs a coroutine of a host, which stands still while it is frozen."""
+
+    def __init__(self, coroutine, wait_until_awake):
+        self._coroutine = coroutine
+        self._wait_until_awake = wait_until_awake
+
+    def __await__(self):
+        step, argument = self._coroutine.send, None
+        while True:
+            try:
+                awaited = step(argument)
+            except StopIteration as stopped:
+                return stopped.value
+            try:
+                yield awaited
+                step, argument = self._coroutine.send, None
+            except BaseException as error:
+                step, argument = self._coroutine.throw, error
+            yield from self._wait_until_awake().__await__()
+
+
+async def _run_pausable(coroutine, wait_until_awake):
+    return await _Pausable(coroutine, wait_until_awake)
+
+
 class _Network:
     """Delivers the messages of one host."""
 
@@ -67,19 +93,24 @@
     Parameters
     ----------
     count : int
-        Number of hosts, over three zones.
+        Number of hosts.
     seed : int
         Seed of losses, delays and start times.
     lapse_s : float
         Seconds after which the store drops the entry of a silent target.
+    zones : int
+        Zones that the hosts are spread over.
     """
 
-    def __init__(self, count, seed, lapse_s=0):
+    def __init__(self, count, seed, lapse_s=0, zones=3):
         self.rng = Random(seed)
         self.lapse_s = lapse_s
         self.by_host = {}
         self.rosters = {}
         self.dead = set()
+        # Events that end the freeze of hosts, and what they get meanwhile.
+        self.awake_by_host = {}
+        self._held_messages = {}
         # Hosts that are cut off from all others, but not from each other.
         self.cut_off = set()
         # Hosts that hear the others, and whose own packets are lost.
@@ -90,18 +121,38 @@
         self._tasks = {}
         self._contexts = {}
         for place in range(count):
-            zone = place % 3
-            self._add(f'10.{zone + 1}.0.{place // 3 + 1}', f'z{zone}')
+            zone = place % zones
+            self._add(f'10.{zone + 1}.0.{place // zones + 1}', f'z{zone}')
 
     def start(self):
         """Start to exchange heartbeats."""
-        for host, sync in self.by_host.items():
-            context = copy_context()
-            context.run(_current_host.set, host)
-            self._contexts[host] = context
-            self._tasks[host] = asyncio.get_running_loop().create_task(
-                sync.run(), context=context
-            )
+        asyncio.get_running_loop().set_task_factory(self._create_task)
+        for host in self.by_host:
+            self._start_host(host)
+
+    def start_task(self, host, coroutine):
+        """Run a coroutine as one of a host; it is frozen with the host."""
+        return asyncio.get_running_loop().create_task(
+            coroutine, context=self._contexts[host]
+        )
+
+    def restart(self, host):
+        """Start a host again that has lost its power."""
+        self.dead.discard(host)
+        passed_ms = int(asyncio.get_running_loop().time() * 1000)
+        self._add(host, self.rosters[host].zone, passed_ms)
+        self._start_host(host)
+
+    def freeze(self, host):
+        """Let the processes of a host stand still."""
+        self.awake_by_host[host] = asyncio.Event()
+        self._held_messages[host] = []
+
+    def thaw(self, host):
+        """Let a host go on; its buffered messages come first."""
+        self.awake_by_host.pop(host).set()
+        for message in self._held_messages.pop(host):
+            self.deliver(host, message)
 
     def kill(self, hosts):
         """Take the power from hosts."""
@@ -128,7 +179,9 @@
 
     def deliver(self, host, message):
         """Hand a message to a host unless it has died meanwhile."""
-        if host not in self.dead:
+        if host in self.awake_by_host:
+            self._held_messages[host].append(message)
+        elif host not in self.dead:
             self._contexts[host].run(self.by_host[host].on_beat, message)
 
     async def fetch(self, host, _port, request):
@@ -137,6 +190,9 @@
             await asyncio.sleep(_SYNC_TIMEOUT_S)
             return Err(SyncFault(False, 'no answer in time'))
         await asyncio.sleep(_DELAY_S)
+        if host in self.awake_by_host:
+            await asyncio.sleep(_SYNC_TIMEOUT_S)
+            return Err(SyncFault(True, 'no answer in time'))
         reply = self.by_host[host].answer_sync(request)
         await asyncio.sleep(_DELAY_S * (1 + 8 * self.rng.random()))
         return Ok(reply)
@@ -187,12 +243,34 @@
     def _is_in_lossy_zone(self, host):
         return host.startswith('10.1.')
 
-    def _add(self, host, zone):
+    def _start_host(self, host):
+        context = copy_context()
+        context.run(_current_host.set, host)
+        self._contexts[host] = context
+        self._tasks[host] = self.start_task(host, self.by_host[host].run())
+
+    def _create_task(self, loop, coroutine, context=None):
+        host = _current_host.get()
+        if context is not None:
+            host = context.get(_current_host, '')
+        if host:
+            coroutine = _run_pausable(
+                coroutine, lambda: self._wait_until_awake(host)
+            )
+        return asyncio.Task(coroutine, loop=loop, context=context)
+
+    async def _wait_until_awake(self, host):
+        while host in self.awake_by_host:
+            await self.awake_by_host[host].wait()
+
+    def _add(self, host, zone, incarnation=None):
         settings = gateway_settings()
         settings['address'] = host
         settings['zone'] = zone
         settings['peers']['seeds'] = ['10.1.0.1', '10.2.0.1', '10.3.0.1']
-        roster = Roster(settings, 1000 + self.rng.randrange(300))
+        if incarnation is None:
+            incarnation = 1000 + self.rng.randrange(300)
+        roster = Roster(settings, incarnation)
         roster.state = READY
         self.rosters[host] = roster
         self.by_host[host] = fleet_sync.FleetSync(
@@ -206,7 +284,7 @@
         )
 
 
-def run_fleet(monkeypatch, count, seed, scenario, lapse_s=0):
+def run_fleet(monkeypatch, count, seed, scenario, lapse_s=0, zones=3):
     """Run a scenario with a started fleet in virtual time.
 
     Parameters
@@ -221,6 +299,8 @@
         Coroutine function that gets the fleet once all hosts know each other.
     lapse_s : float
         Seconds after which the store drops the entry of a silent target.
+    zones : int
+        Zones that the hosts are spread over.
 
     Returns
     -------
@@ -229,7 +309,7 @@
     """
 
     async def main():
-        fleet = GossipFleet(count, seed, lapse_s)
+        fleet = GossipFleet(count, seed, lapse_s, zones)
         monkeypatch.setattr(fleet_sync, 'fetch_sync', fleet.fetch)
         fleet.start()
         await asyncio.sleep(6)
--- a/tests/restored_fleet.py
+++ b/tests/restored_fleet.py
@@ -25,6 +25,9 @@
 _MISSED_HEARTBEATS = 3
 _CALL_S = 0.004
 _POLL_S = 0.05
+_TIMEOUT_S = 0.6
+# A process that stood still for longer takes its call for timed out.
+_ANSWER_LATE_S = 0.7
 # As in ``gateway.process``: readers of a zone, and those with an old copy.
 _STORE_AGE_MS = 1300
 _STORE_AGE_PER_RANK_MS = 150
@@ -110,33 +113,46 @@
 class _Client:
     """Calls the model store as ``StoreClient`` calls a real one."""
 
-    def __init__(self, store, reaches_store):
+    def __init__(self, store, reaches_store, on_answer):
         self._store = store
         self._reaches_store = reaches_store
+        self._on_answer = on_answer
 
     async def read_all(self, _prefix):
         if not await self._call():
             return Err(StoreFault(UNREACHABLE, 'down'))
+        self._on_answer()
         return Ok(StorePage(self._store.listed(), self._position()))
 
     async def watch(self, _prefix, after, wait_s):
         if not await self._call():
             return Err(StoreFault(UNREACHABLE, 'down'))
         store, era = self._store, self._store.era
-        until = asyncio.get_running_loop().time() + wait_s
-        while asyncio.get_running_loop().time() < until:
-            if store.down or store.era != era:
+        if after > store.revision:
+            return Err(StoreFault(FORGOTTEN, 'not there'))
+        loop = asyncio.get_running_loop()
+        until = loop.time() + wait_s
+        while not store.since(after) and loop.time() < until:
+            polled_at = loop.time()
+            await asyncio.sleep(_POLL_S)
+            if not self._reaches_store():
+                # Neither an answer nor a reset comes.
+                await asyncio.sleep(wait_s + _TIMEOUT_S)
+                return Err(StoreFault(UNREACHABLE, 'no answer in time'))
+            paused_s = loop.time() - polled_at
+            if store.down or store.era != era or paused_s > _ANSWER_LATE_S:
                 return Err(StoreFault(UNREACHABLE, 'cut'))
             if after > store.revision:
                 return Err(StoreFault(FORGOTTEN, 'not there'))
-            if store.since(after):
-                break
-            await asyncio.sleep(_POLL_S)
+        self._on_answer()
         return Ok(StorePage(store.since(after), self._position()))
 
     async def _call(self):
         self._store.calls += 1
         await asyncio.sleep(_CALL_S)
+        if not self._reaches_store():
+            await asyncio.sleep(_TIMEOUT_S)
+            return False
         return self._reaches_store() and not self._store.down
 
     def _position(self):
@@ -205,12 +221,28 @@
         self.rng = Random(seed)
         self.cut_off_hosts = set()
         self.tasks = []
+        self.tasks_by_host = {}
+        # When each host had its last answer of the store.
+        self.answered_at = {}
 
     def start(self):
         """Start the followers."""
         for host in self.fleet.by_host:
-            self.tasks.append(asyncio.create_task(self._follow(host)))
-            self.tasks.append(asyncio.create_task(self._maintain(host)))
+            self.start_host(host)
+
+    def start_host(self, host):
+        """Start the follower of one host."""
+        self.tasks_by_host[host] = [
+            self.fleet.start_task(host, self._follow(host)),
+            self.fleet.start_task(host, self._maintain(host)),
+        ]
+        self.tasks += self.tasks_by_host[host]
+
+    def kill_host(self, host):
+        """Take the power from a host."""
+        self.fleet.kill([host])
+        for task in self.tasks_by_host[host]:
+            task.cancel()
 
     def stop(self):
         """End all tasks."""
@@ -246,7 +278,11 @@
 
         follower = StoreFollower(
             settings,
-            _Client(self.store, lambda: host not in self.cut_off_hosts),
+            _Client(
+                self.store,
+                lambda: host not in self.cut_off_hosts,
+                lambda: self.answered_at.update({host: _now()}),
+            ),
             beliefs.table,
             FollowerPorts(
                 on_configuration,
