Pass removals on at once, and take no cut path for an absence of the store

Cause: the reader postponed the removal, as if the store had been away, and handed its position on beyond it. The removal was in no message and died with the host; the next reader watched the store from behind it. The absence was judged by the own calls alone.

Ruled out: missing tombstones (mended before; the model still failed), a successor that reads too late.

Change: a removal is recorded and travels with the position at once. Each host that saw the store away keeps using the target for return_grace_s. The store was away if no host had an answer for 2 s and own calls failed; heartbeats say for how long hosts have had answers, and hosts that stand in for a reader ask for one at once. After a failed call the next one asks for an answer at once, too.

--- a/oleanderridge/config/follower.py
+++ b/oleanderridge/config/follower.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import math
 from collections.abc import Callable
 from typing import Final, NamedTuple
 
@@ -35,8 +36,6 @@
 # Waits after failed calls, from the first to the last.
 _BACKOFF_S: Final = (0.1, 0.25, 0.5, 0.8)
 _IDLE_S: Final = 0.1
-# An absence shorter than this ends no leases of targets.
-_OUTAGE_LEAST_S: Final = 0.4
 # Least time between two lists that check the table against the store.
 _CHECK_INTERVAL_S: Final = 5.0
 _EVERYTHING: Final = ''
@@ -45,7 +44,9 @@
 class FollowerPorts(NamedTuple):
     """What a follower reports to.
 
-    ``outage_ended_at`` returns when the store was last back for the fleet,
+    ``on_store_failure`` gets the time at which a failed call began;
+    ``store_wait_s`` returns how long a watch may wait for changes,
+    ``outage_ended_at`` when the store was last back for the fleet,
     ``known_position`` up to where targets and configuration are known, from the
     store or from other hosts.
     """
@@ -53,7 +54,9 @@
     on_configuration: Callable[[bytes], None]
     on_targets: Callable[[], None]
     on_store_contact: Callable[[], None]
+    on_store_failure: Callable[[float], None]
     should_read_store: Callable[[], bool]
+    store_wait_s: Callable[[], float]
     outage_ended_at: Callable[[], float]
     on_position: Callable[[StorePosition], None]
     known_position: Callable[[], StorePosition]
@@ -87,10 +90,11 @@
         self._ports = ports
         self._failures = 0
         self._lost_at: float = 0
-        self._back_at: float = 0
+        self._restored_at = -math.inf
+        self._check_after: float = 0
+        self._called_at: float = 0
         self._needs_list = True
         self._needs_check = False
-        self._check_after: float = 0
         self._listed_again = 0
         self._watched_to = NO_POSITION
         self.reachable = True
@@ -103,6 +107,7 @@
                 # What changes meanwhile comes from peers.
                 await asyncio.sleep(_IDLE_S)
                 continue
+            self._called_at = _now()
             fault = await self._step()
             if fault is None:
                 self._on_success()
@@ -135,9 +140,9 @@
         if self._needs_list or self._needs_check:
             return await self._list()
         known = max(self._watched_to, self._ports.known_position())
-        watched = await self._client.watch(
-            _EVERYTHING, known.revision, self._store['wait_s']
-        )
+        # A store that may be away is asked for an answer at once.
+        wait_s = 0 if self._lost_at else self._ports.store_wait_s()
+        watched = await self._client.watch(_EVERYTHING, known.revision, wait_s)
         if isinstance(watched, Err):
             return watched.err_value
         page = watched.ok_value
@@ -218,7 +223,8 @@
 
     def _remove(self, target: str, position: StorePosition) -> None:
         known = self._table.by_id.get(target)
-        until = self._back_at + self._store['return_grace_s']
+        back_at = max(self._restored_at, self._ports.outage_ended_at())
+        until = back_at + self._store['return_grace_s']
         if known and known.state != DRAINING and _now() < until:
             log_event(
                 _LOGGER,
@@ -243,7 +249,7 @@
     def _on_restored(self, position: StorePosition) -> None:
         # What targets registered after the copy was made is missing in it
         # until they write it again.
-        self._back_at = _now()
+        self._restored_at = _now()
         log_event(
             _LOGGER,
             'store-restored',
@@ -270,11 +276,6 @@
         self._ports.on_store_contact()
         if self._lost_at:
             away_s = _now() - self._lost_at
-            if away_s > self._store['return_grace_s']:
-                # Other hosts show whether the store was away or only the path.
-                self._back_at = self._ports.outage_ended_at()
-            elif away_s > _OUTAGE_LEAST_S:
-                self._back_at = _now()
             log_event(_LOGGER, 'store-regained', logging.WARNING, away_s=away_s)
         self._lost_at = 0
         self.reachable = True
@@ -284,6 +285,7 @@
 
     def _on_fault(self, fault: StoreFault) -> None:
         self._failures += 1
+        self._ports.on_store_failure(self._called_at)
         if not self._lost_at:
             self._lost_at = _now()
             self.reachable = False
--- a/oleanderridge/gateway/beliefs.py
+++ b/oleanderridge/gateway/beliefs.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import math
 from collections.abc import Callable
 from typing import Final
 
@@ -19,8 +20,12 @@
 
 # Age that is reported before the first confirmation.
 _UNKNOWN_AGE_MS: Final = 3_600_000
-# More than the longest call that watches the store, with its timeout.
-_OUTAGE_S: Final = 1.7
+# More than the time in which another host of the zone reads the store when its
+# reader is cut off, and less than that in which a target can miss its renewals.
+_OUTAGE_S: Final = 2.0
+# How long after a failed call began a return of the store is assumed at the
+# latest. The grace for its entries counts from there.
+_RETURN_UNSEEN_S: Final = 0.6
 
 
 class Beliefs:
@@ -54,7 +59,11 @@
         self.on_targets = on_targets
         self._on_configuration = on_configuration
         # When the last absence of the store ended, in monotonic seconds.
-        self.outage_ended_at: float = 0
+        self.outage_ended_at: float = -math.inf
+        self._store_heard_at: float | None = None
+        self._store_failed_at: float = -math.inf
+        # Since when hosts have had answers of the store without a long pause.
+        self._steady_since: float = math.inf
         self._outage_s = outage_s
         self._confirmed_at: float | None = None
 
@@ -133,12 +142,68 @@
         at : float
             Monotonic seconds.
         """
-        confirmed_at = self._confirmed_at
-        if confirmed_at is not None and at - confirmed_at > self._outage_s:
-            self.outage_ended_at = at
-        if confirmed_at is None or at > confirmed_at:
+        self.hear_of_store(at)
+        if self._confirmed_at is None or at > self._confirmed_at:
             self._confirmed_at = at
 
+    def hear_of_store(self, at: float) -> None:
+        """Record a time at which some host had an answer of the store.
+
+        Parameters
+        ----------
+        at : float
+            Monotonic seconds.
+        """
+        heard_at = self._store_heard_at
+        if heard_at is None:
+            self._steady_since = at
+        elif at - heard_at > self._outage_s:
+            self._steady_since = at
+            if self._store_failed_at > heard_at:
+                # It may have been back since the last call that failed.
+                called_at = self._store_failed_at
+                self.outage_ended_at = min(at, called_at + _RETURN_UNSEEN_S)
+        if heard_at is None or at > heard_at:
+            self._store_heard_at = at
+
+    def record_store_failure(self, at: float) -> None:
+        """Record a call to the store that failed.
+
+        Parameters
+        ----------
+        at : float
+            When the call began, in monotonic seconds.
+        """
+        self._store_failed_at = at
+
+    def steady_ms(self, now: float) -> int:
+        """Return for how long hosts have had answers of the store.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic seconds.
+
+        Returns
+        -------
+        int
+            Milliseconds without a pause in which the store may have been away.
+        """
+        return int(max(0, now - self._steady_since) * 1000)
+
+    def hear_of_steady_store(self, since: float) -> None:
+        """Take note that other hosts had answers when this one had none.
+
+        Parameters
+        ----------
+        since : float
+            Monotonic seconds since which they have had answers.
+        """
+        if since < self.outage_ended_at - self._outage_s:
+            # Only the paths of this host were cut.
+            self.outage_ended_at = -math.inf
+            self.table.end_retention()
+
     def age_ms(self, now: float) -> int:
         """Return the age of the replica in milliseconds."""
         if self._confirmed_at is None:
--- a/oleanderridge/gateway/fleet_sync.py
+++ b/oleanderridge/gateway/fleet_sync.py
@@ -328,6 +328,7 @@
             blocked=news.blocked,
             known_revision=self._beliefs.known_revision(),
             last_removal=last_removal_revision(self._beliefs.table),
+            store_steady_ms=self._beliefs.steady_ms(now),
         )
 
     def _current_advice(self, now: float) -> _Advice:
@@ -372,6 +373,10 @@
             self._members_fetched_at = now
             self._start_fetch(beat.host)
         table = self._beliefs.table
+        self._beliefs.hear_of_store(now - beat.store_age_ms / 1000)
+        if beat.store_steady_ms:
+            steady_since = now - beat.store_steady_ms / 1000
+            self._beliefs.hear_of_steady_store(steady_since)
         if not self._has_other_targets(beat):
             adopt_position(table, beat)
             if beat.config_version == self._beliefs.version():
@@ -465,7 +470,14 @@
         now = _now()
         self._apply_members(host, reply, now)
         before = table.digest
-        apply_targets(table, reply, now + self._return_grace_s)
+        self._beliefs.hear_of_store(now - reply.store_age_ms / 1000)
+        retain_until = self._beliefs.outage_ended_at + self._return_grace_s
+        apply_targets(
+            table,
+            reply,
+            now + self._return_grace_s,
+            retain_until if retain_until > now else 0,
+        )
         if table.digest != before:
             self._beliefs.on_targets()
         self._apply_config(host, reply)
--- a/oleanderridge/gateway/process.py
+++ b/oleanderridge/gateway/process.py
@@ -221,7 +221,9 @@
             on_configuration=self._on_stored_configuration,
             on_targets=self._on_followed_targets,
             on_store_contact=lambda: self._beliefs.confirm(_now()),
+            on_store_failure=self._beliefs.record_store_failure,
             should_read_store=self._should_read_store,
+            store_wait_s=self._store_wait_s,
             outage_ended_at=lambda: self._beliefs.outage_ended_at,
             on_position=self._beliefs.advance,
             known_position=lambda: self._beliefs.position,
@@ -369,10 +371,26 @@
             return True
         if self._sync.lacks_configuration():
             return True
+        return self._stands_in_for_reader(now)
+
+    def _stands_in_for_reader(self, now: float) -> bool:
+        """Return whether the reader of the zone has had no answer for long."""
         rank = self._roster.rank_in_zone(now)
         age_limit_ms = _STORE_AGE_MS + _STORE_AGE_PER_RANK_MS * rank
         return self._beliefs.age_ms(now) > min(age_limit_ms, _STORE_AGE_MAX_MS)
 
+    def _store_wait_s(self) -> float:
+        """Return how long a watch of the store may wait for changes.
+
+        A host that stands in for the reader of its zone asks for an answer at
+        once, which shows the fleet that the store is there.
+        """
+        now = _now()
+        is_reader = self._roster.relay(now) == self._roster.host
+        if not is_reader and self._stands_in_for_reader(now):
+            return 0
+        return self._settings['store']['wait_s']
+
     def _start_task(self, coroutine: Coroutine[Any, Any, Any]) -> asyncio.Task:
         task = asyncio.get_running_loop().create_task(coroutine)
         self._tasks.add(task)
--- a/oleanderridge/gateway/target_sync.py
+++ b/oleanderridge/gateway/target_sync.py
@@ -111,7 +111,12 @@
     return None if too_many else changes
 
 
-def apply_targets(table: TargetTable, reply: SyncReply, until: float) -> None:
+def apply_targets(
+    table: TargetTable,
+    reply: SyncReply,
+    return_until: float,
+    retain_until: float = 0,
+) -> None:
     """Apply the targets of another host's reply.
 
     Parameters
@@ -120,19 +125,22 @@
         What this host knows.
     reply : SyncReply
         What the other host knows.
-    until : float
+    return_until : float
         Monotonic seconds until which a target that a copy of the store lacks
         may register again.
+    retain_until : float
+        Monotonic seconds until which a target that may have expired while the
+        store was away stays in use; 0 if the store wasn't.
     """
     records = [_record_from_entry(entry) for entry in reply.targets]
     position = StorePosition(reply.store_era, reply.targets_revision)
     if reply.whole:
-        _apply_whole(table, records, position, until)
+        _apply_whole(table, records, position, (return_until, retain_until))
     else:
         for record in records:
             table.put(record)
     for entry in reply.removals:
-        table.merge_removal(*_removal_from_entry(entry))
+        table.merge_removal(*_removal_from_entry(entry), retain_until)
     if reply.whole:
         return
     if not reply.removals:
@@ -149,12 +157,14 @@
     table: TargetTable,
     records: list[TargetRecord],
     position: StorePosition,
-    until: float,
+    untils: tuple[float, float],
 ) -> None:
+    return_until, retain_until = untils
     former = table.position
     restored = former != NO_POSITION and position.era > former.era
+    until = return_until if restored else retain_until
     for target in table.merge_list(records, position):
-        if restored and table.by_id[target].state != DRAINING:
+        if until and table.by_id[target].state != DRAINING:
             table.postpone_removal(target, position, until)
         else:
             table.remove(target, position)
--- a/oleanderridge/gateway/target_table.py
+++ b/oleanderridge/gateway/target_table.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterable
 from typing import Final, NamedTuple
 from zlib import crc32
@@ -30,13 +31,6 @@
     last: Statement
 
 
-class _PostponedRemoval(NamedTuple):
-    """Position of a removal, and when it takes effect."""
-
-    position: StorePosition
-    until: float
-
-
 class _Gap(NamedTuple):
     """Positions between which removals of short-lived targets are unknown."""
 
@@ -76,7 +70,8 @@
         self._removals_from = NO_POSITION
         self._last_removal = NO_POSITION
         self._gaps: list[_Gap] = []
-        self._postponed: dict[str, _PostponedRemoval] = {}
+        # Removed targets that stay in use, and until when in monotonic seconds.
+        self._retained: dict[str, float] = {}
         # Entries of a copy whose targets are known to be removed.
         self._withheld: dict[str, TargetRecord] = {}
         self._keeps_former_removals = False
@@ -84,14 +79,17 @@
 
     @property
     def digest(self) -> int:
-        """Checksum of the records and their positions."""
+        """Checksum of the records and their positions.
+
+        Retained targets are left out: their removal is known.
+        """
         if self._digest is None:
             # Records of the current era have no era in the text, so that hosts
             # of before, which know no eras, compute the same.
             era = self.position.era
             text = ','.join(
                 f'{target}:{_position_text(self.by_id[target].position, era)}'
-                for target in sorted(self.by_id)
+                for target in sorted(self.by_id.keys() - self._retained.keys())
             )
             self._digest = crc32(text.encode())
         return self._digest
@@ -118,9 +116,14 @@
 
     def _put(self, record: TargetRecord, known_to: StorePosition) -> bool:
         target = record.target
-        removal = self._postponed.get(target)
-        if removal is not None and record.position > removal.position:
-            del self._postponed[target]
+        if target in self._retained:
+            removal = self._tombstones[target]
+            if record.position <= removal.position:
+                return False
+            # It registered again.
+            self._retained.pop(target)
+            self._tombstones.pop(target)
+            self._digest = None
         known = self.by_id.get(target)
         if known is None:
             if not self._may_insert(record, known_to):
@@ -157,7 +160,9 @@
         self._bury(target, Tombstone(position, known.statement()))
         return True
 
-    def merge_removal(self, target: str, tombstone: Tombstone) -> bool:
+    def merge_removal(
+        self, target: str, tombstone: Tombstone, retain_until: float = 0
+    ) -> bool:
         """Apply a removal that a peer knows of.
 
         Parameters
@@ -166,19 +171,25 @@
             Id of the target.
         tombstone : Tombstone
             As the peer has it.
+        retain_until : float
+            Monotonic seconds until which a target that doesn't drain stays in
+            use; 0 if it doesn't.
 
         Returns
         -------
         bool
-            Whether the target was in the table.
+            Whether the target was removed from the table.
         """
         known = self.by_id.get(target)
-        if known is None:
+        if known is None or target in self._retained:
             own = self._tombstones.get(target)
             if own is None or own.position < tombstone.position:
                 self._add_tombstone(target, tombstone)
             return False
         if known.position <= tombstone.position:
+            if retain_until and known.state != DRAINING:
+                self.postpone_removal(target, tombstone.position, retain_until)
+                return False
             self._bury(target, tombstone)
             return True
         if not self._is_of_the_copy(known, tombstone):
@@ -204,7 +215,7 @@
             False if the target isn't known.
         """
         removed = self._tombstones.get(target)
-        if removed is not None:
+        if removed is not None and target not in self._retained:
             return removed.last.born_ms == born_ms
         known = self.by_id.get(target)
         return known is not None and (known.state, known.born_ms) == (
@@ -215,9 +226,10 @@
     def postpone_removal(
         self, target: str, position: StorePosition, until: float
     ) -> None:
-        """Delay the removal of a target that may have expired in an outage.
+        """Keep a target in use for a while that may register again.
 
-        A target cannot renew its lease while the store is unavailable.
+        A target cannot renew its lease while the store is unavailable. The
+        removal itself is recorded, so that it is passed on with the position.
 
         Parameters
         ----------
@@ -226,14 +238,22 @@
         position : StorePosition
             Position of the removal. A later registration cancels it.
         until : float
-            Monotonic seconds at which it is removed.
+            Monotonic seconds until which the target stays in use.
         """
-        if target in self.by_id:
-            removal = _PostponedRemoval(position, until)
-            self._postponed.setdefault(target, removal)
+        known = self.by_id.get(target)
+        if known is None or known.position > position:
+            return
+        if target not in self._retained:
+            self._retained[target] = until
+            self._add_tombstone(target, Tombstone(position, known.statement()))
+            self._digest = None
+
+    def end_retention(self) -> None:
+        """Let removed targets fall due that were kept in use."""
+        self._retained = dict.fromkeys(self._retained, -math.inf)
 
     def lapse(self, now: float) -> list[str]:
-        """Carry out what is due: removals, and the end of former ones.
+        """End the use of removed targets, and former removals.
 
         Parameters
         ----------
@@ -243,16 +263,14 @@
         Returns
         -------
         list of str
-            Ids of the targets that were removed or are back.
+            Ids of the targets that are out of use or are back.
         """
         due = [
-            target
-            for target, removal in self._postponed.items()
-            if removal.until <= now
+            target for target, until in self._retained.items() if until <= now
         ]
         for target in due:
-            known = self.by_id[target].position
-            self.remove(target, max(self.position, known))
+            del self.by_id[target]
+            del self._retained[target]
         return due + self._end_former_removals(now)
 
     def advance(self, position: StorePosition) -> None:
@@ -321,6 +339,7 @@
             record
             for record in (*self.by_id.values(), *self._withheld.values())
             if record.position > position
+            and record.target not in self._retained
         ]
         removed = {
             target: tombstone
@@ -414,7 +433,9 @@
         return [
             target
             for target, known in self.by_id.items()
-            if target not in listed and known.position <= position
+            if target not in listed
+            and target not in self._retained
+            and known.position <= position
         ]
 
     def _drop_refuted_removal(
@@ -426,6 +447,8 @@
             return
         if listed.position <= tombstone.position <= position:
             del self._tombstones[listed.target]
+            if self._retained.pop(listed.target, None) is not None:
+                self._digest = None
 
     def _contradicts(self, record: TargetRecord) -> bool:
         """Return whether a record's target should be known by the position."""
@@ -485,7 +508,7 @@
 
     def _bury(self, target: str, tombstone: Tombstone) -> None:
         del self.by_id[target]
-        self._postponed.pop(target, None)
+        self._retained.pop(target, None)
         self._add_tombstone(target, tombstone)
         self._digest = None
 
--- a/tests/restored_fleet.py
+++ b/tests/restored_fleet.py
@@ -288,7 +288,9 @@
                 on_configuration,
                 sync.announce,
                 lambda: beliefs.confirm(_now()),
+                beliefs.record_store_failure,
                 lambda: self._should_read(host),
+                lambda: self._wait_s(host),
                 lambda: beliefs.outage_ended_at,
                 beliefs.advance,
                 lambda: beliefs.position,
@@ -308,12 +310,22 @@
             return True
         if self.fleet.by_host[host].lacks_configuration():
             return True
+        return self._stands_in(host, now)
+
+    def _stands_in(self, host, now):
         limit_ms = _STORE_AGE_MS + _STORE_AGE_PER_RANK_MS * (
-            roster.rank_in_zone(now)
+            self.fleet.rosters[host].rank_in_zone(now)
         )
         age_ms = self.beliefs(host).age_ms(now)
         return age_ms > min(limit_ms, _STORE_AGE_MAX_MS)
 
+    def _wait_s(self, host):
+        now = _now()
+        is_reader = self.fleet.rosters[host].relay(now) == host
+        if not is_reader and self._stands_in(host, now):
+            return 0
+        return gateway_settings()['store']['wait_s']
+
 
 def _now():
     return asyncio.get_running_loop().time()
--- a/tests/test_position_claims.py
+++ b/tests/test_position_claims.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from tests.gossip_model import run_fleet
+from tests.gossip_model import each_step, run_fleet
 from tests.restored_fleet import LAPSE_S, RestoredFleet, Target
 
 # What the operator allows for a target that leaves and for a configuration,
@@ -104,6 +104,13 @@
         host = min(self.fleet.by_host)
         return self.fleet.rosters[host].relay(_now())
 
+    async def until_answered(self, host):
+        """Wait until the store answers a host again."""
+        since = _now()
+        async for _ in each_step(6):
+            if self.world.answered_at[host] > since:
+                return
+
     def assert_nothing_late(self):
         assert not self.found
 
@@ -181,3 +188,131 @@
         await troubles.assert_settled()
 
     _play(monkeypatch, count, 3, seed, scenario)
+
+
+@pytest.mark.parametrize('zones', [1, 3])
+@pytest.mark.parametrize('seed', range(4))
+def test_a_removal_outlives_the_reader_that_learned_it(
+    monkeypatch, seed, zones
+):
+    """Guards against a postponed removal that dies with the reading host."""
+
+    async def scenario(troubles):
+        reader = troubles.reader()
+        await troubles.cut_from_store(reader, 3)
+        await troubles.until_answered(reader)
+        await asyncio.sleep(troubles.rng.uniform(0.1, 0.3))
+        troubles.leave_one()
+        await asyncio.sleep(troubles.rng.uniform(0.4, 0.9))
+        await troubles.restart(reader, 1)
+        await troubles.assert_settled()
+
+    _play(monkeypatch, 3, zones, seed, scenario)
+
+
+@pytest.mark.parametrize('zones', [1, 3])
+@pytest.mark.parametrize('seed', range(4))
+def test_a_cut_of_the_reader_postpones_no_removal(monkeypatch, seed, zones):
+    """Guards against a cut path to the store taken for its absence."""
+
+    async def scenario(troubles):
+        reader = troubles.reader()
+        await troubles.cut_from_store(reader, 3)
+        await troubles.until_answered(reader)
+        await asyncio.sleep(0.02)
+        troubles.leave_one()
+        await troubles.assert_settled()
+
+    _play(monkeypatch, 3, zones, seed, scenario)
+
+
+@pytest.mark.parametrize('ahead_s', [0.1, 0.5, 0.9, 1.4])
+@pytest.mark.parametrize('seed', range(3))
+def test_a_target_that_leaves_during_a_cut_is_out_in_time(
+    monkeypatch, seed, ahead_s
+):
+    """Guards against a removal that the reader learns late and postpones."""
+
+    async def scenario(troubles):
+        cut = troubles.cut_from_store(troubles.reader(), 3)
+        cut = asyncio.create_task(cut)
+        await asyncio.sleep(3 - ahead_s)
+        troubles.leave_one()
+        await cut
+        await troubles.assert_settled()
+
+    _play(monkeypatch, 3, 1, seed, scenario)
+
+
+@pytest.mark.parametrize('seed', range(3))
+def test_an_outage_that_ends_leases_ends_no_use(monkeypatch, seed):
+    """Guards against targets dropped before they can register again."""
+
+    async def scenario(troubles):
+        troubles.store.down = True
+        await asyncio.sleep(4.5)
+        lost = troubles.targets[:5]
+        for target in lost:
+            troubles.store.write(f'servers/{target.name}', None, _now())
+        troubles.store.down = False
+        for _ in range(10):
+            await asyncio.sleep(0.1)
+            for host in troubles.fleet.by_host:
+                assert len(troubles.world.ready_targets(host)) == 8
+        await troubles.assert_settled()
+
+    _play(monkeypatch, 6, 3, seed, scenario)
+
+
+def _random_trouble(troubles, hosts):
+    """Return a coroutine that disturbs some hosts, at times many at once."""
+    rng = troubles.rng
+    idle = [host for host in hosts if host not in troubles.busy]
+    count = rng.choice((1, 1, 1, 2, max(1, len(idle) - 1)))
+    chosen = rng.sample(idle, min(count, len(idle)))
+    if rng.random() < 0.5 and troubles.reader() in idle:
+        chosen = [troubles.reader()]
+    kind = rng.choice(('freeze', 'restart', 'cut_from_store', 'apart'))
+    if kind == 'apart':
+        return [troubles.cut_from_each_other(chosen, rng.uniform(0.5, 5))]
+    return [
+        getattr(troubles, kind)(host, rng.uniform(0.3, 4)) for host in chosen
+    ]
+
+
+@pytest.mark.parametrize(
+    ('count', 'zones', 'seed'),
+    [
+        *((3, 1, seed) for seed in range(8)),
+        *((6, 3, seed) for seed in range(8)),
+        *((12, 3, seed) for seed in range(4)),
+        (12, 1, 0),
+        (104, 3, 0),
+    ],
+)
+def test_positions_are_true_under_troubles_in_any_order(
+    monkeypatch, count, zones, seed
+):
+    """Guards against hosts that claim a position whose changes they lack."""
+
+    async def scenario(troubles):
+        hosts = list(troubles.fleet.by_host)
+        running = []
+        for _ in range(60):
+            await asyncio.sleep(troubles.rng.uniform(0.05, 0.6))
+            kind = troubles.rng.random()
+            left = len(troubles.targets) - len(troubles.left_at)
+            if kind < 0.2:
+                running += map(
+                    asyncio.create_task, _random_trouble(troubles, hosts)
+                )
+            elif kind < 0.55 and left > 3:
+                troubles.leave_one(drains=kind < 0.3)
+            elif kind < 0.85:
+                troubles.add_target()
+            else:
+                troubles.publish()
+        await asyncio.gather(*running)
+        await troubles.assert_settled()
+
+    _play(monkeypatch, count, zones, seed, scenario)
