Parse what peers send in short turns of the loop

Cause: all events of what was received were taken in one step. One read of 256 KB holds 43,000 such chunks, 0.15 to 0.4 s in which the host does nothing else, again and again.

Ruled out: slow targets (they answered in time), memory, many connections (one is enough).

Change: a connection parses for 2 ms, the rest waits with reading paused in one queue, which takes a third of the loop at most. Pipelined bytes beyond 64 KB stay with the caller; an answer that states too long a body fails at its head. serve reads 8 KB of answers and 4 KB of requests at a time.

--- a/oleanderridge/forward/client.py
+++ b/oleanderridge/forward/client.py
@@ -27,6 +27,7 @@
 from oleanderridge.forward.scrub import Headers, InboundRequest
 from oleanderridge.forward.stream import TargetStream
 from oleanderridge.generated.settings import Settings
+from oleanderridge.http1.parse_turns import limit_reads
 
 TIMEOUT: Final = 'timeout'
 RESET: Final = 'reset'
@@ -44,6 +45,9 @@
 # methods that can then be retried.
 _KEEPALIVE_METHODS: Final = frozenset(('GET', 'HEAD', 'OPTIONS'))
 
+# What aiohttp parses in one step: 1,360 chunks of one byte.
+_READ_BYTES: Final = 8192
+
 _NO_BODY_STATUSES: Final = frozenset((204, 304))
 _SWITCHING_PROTOCOLS: Final = 101
 _AIOHTTP_DEFAULT_HEADERS: Final = (
@@ -115,6 +119,7 @@
         # aiohttp returns the connection to the pool as soon as the body has
         # arrived, before the request id is checked, so keep the transport.
         self._transport = connection.transport
+        limit_reads(connection.transport, _READ_BYTES)
         return await super().start(connection)
 
     def discard(self) -> None:
--- a/oleanderridge/gateway/gateway_metrics.py
+++ b/oleanderridge/gateway/gateway_metrics.py
@@ -19,6 +19,7 @@
     2.5,
     5,
 )
+_LATENESS_BUCKETS_S: Final = (0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 1)
 
 
 class GatewayMetrics:
@@ -37,6 +38,12 @@
             registry=self._registry,
             buckets=list(_LATENCY_BUCKETS_S),
         )
+        self.loop_lateness = Histogram(
+            'oleanderridge_gateway_loop_lateness_seconds',
+            'How late the event loop runs a timer.',
+            registry=self._registry,
+            buckets=list(_LATENESS_BUCKETS_S),
+        )
         self.configuration_version = self._gauge(
             'configuration_version', 'Version in force.'
         )
--- a/oleanderridge/gateway/process.py
+++ b/oleanderridge/gateway/process.py
@@ -408,7 +408,9 @@
     async def _run_placement(self) -> None:
         while True:
             self._permits.deliver_replies(self._placement.tick(_now()))
+            due_at = _now() + _TICK_INTERVAL_S
             await asyncio.sleep(_TICK_INTERVAL_S)
+            self._metrics.loop_lateness.observe({}, max(0, _now() - due_at))
 
     async def _run_maintenance(self) -> None:
         while True:
--- a/oleanderridge/http1/client.py
+++ b/oleanderridge/http1/client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import re
 from collections.abc import Callable
 from typing import Any, Final, NamedTuple
@@ -10,6 +11,7 @@
 import h11
 
 from oleanderridge.http1.messages import Headers, header
+from oleanderridge.http1.parse_turns import EVENTS_PER_LOOK, ParseTurns
 from oleanderridge.http1.server import enable_tcp_timeouts
 
 NOT_SENT: Final = 'not-sent'
@@ -26,6 +28,7 @@
 _KEEP_ALIVE_DEFAULT_S: Final = 3.0
 # Responses to other requests that are discarded before the exchange fails.
 _MISMATCHED_RESPONSES_MAX: Final = 2
+_STATUSES_WITHOUT_BODY: Final = frozenset((204, 304))
 _KEEP_ALIVE_TIMEOUT = re.compile(rb'timeout\s*=\s*"?(\d+)')
 
 
@@ -96,15 +99,17 @@
         self._unfinished = unfinished or UnfinishedBytes()
         self._http = self._new_h11_connection()
         self._transport: Any = None
+        self._turns = ParseTurns(self._parse)
         self._request: Outbound | None = None
         self._matches_request: RequestMatch | None = None
         self._is_identified = True
         self._response_future: asyncio.Future[Answer] | None = None
         self._response_head: h11.Response | None = None
-        self._body_chunks: list[bytes] = []
-        self._body_bytes = 0
+        self._has_ended = False
+        self._body = bytearray()
         self._interim_answers = 0
         self._has_response_data = False
+        self._has_ended = False
         self._mismatched_responses = 0
         self.request_count = 0
         self.received_bytes = 0
@@ -120,6 +125,7 @@
     def connection_made(self, transport: Any) -> None:
         """Enable the TCP timeouts of the connection."""
         self._transport = transport
+        self._turns.start(transport)
         enable_tcp_timeouts(transport, _TCP_USER_TIMEOUT_MS)
 
     def data_received(self, data: bytes) -> None:
@@ -129,7 +135,8 @@
             self.close()
             return
         self._has_response_data = True
-        self._parse(data)
+        self._http.receive_data(data)
+        self._turns.on_data()
 
     def eof_received(self) -> bool:
         """Complete a response that is delimited by the connection's end."""
@@ -137,7 +144,10 @@
             self._response_future is not None
             and not self._response_future.done()
         ):
-            self._parse(b'')
+            self._has_ended = True
+            self._http.receive_data(b'')
+            # All that came before the end has been parsed.
+            self._parse(math.inf)
         self.closed = True
         return False
 
@@ -242,27 +252,31 @@
 
     def _clear_response(self) -> None:
         self._response_head = None
-        self._body_chunks = []
-        self._unfinished.total -= self._body_bytes
-        self._body_bytes = 0
+        self._unfinished.total -= len(self._body)
+        self._body = bytearray()
 
-    def _parse(self, data: bytes) -> None:
+    def _parse(self, until: float) -> bool:
+        """Parse received data; return whether some is left at a loop time."""
+        events = 0
         try:
-            self._http.receive_data(data)
             while (
                 self._response_future is not None
                 and not self._response_future.done()
             ):
                 event = self._http.next_event()
                 if event in (h11.NEED_DATA, h11.PAUSED):
-                    return
+                    return False
                 if isinstance(event, h11.InformationalResponse):
                     self._on_interim_answer()
                 else:
                     self._on_event(event)
+                events += 1
+                if not events % EVENTS_PER_LOOK and self._loop.time() >= until:
+                    return True
         except h11.RemoteProtocolError as error:
-            kind = GARBLED if data else self._closed_error_kind()
+            kind = self._closed_error_kind() if self._has_ended else GARBLED
             self._fail(kind, str(error))
+        return False
 
     def _closed_error_kind(self) -> str:
         if self._response_head is not None:
@@ -272,9 +286,9 @@
 
     def _on_event(self, event: Any) -> None:
         if isinstance(event, h11.Response):
-            self._response_head = event
+            self._on_response_head(event)
         elif isinstance(event, h11.Data):
-            self._on_body_data(bytes(event.data))
+            self._on_body_data(event.data)
         elif isinstance(event, h11.EndOfMessage):
             self._on_response_complete()
         elif isinstance(event, h11.ConnectionClosed):
@@ -288,15 +302,22 @@
         if self._interim_answers > self._limits.interim_answers:
             self._fail(GARBLED, 'too many interim answers')
 
-    def _on_body_data(self, data: bytes) -> None:
-        self._body_bytes += len(data)
+    def _on_response_head(self, head: h11.Response) -> None:
+        self._response_head = head
+        is_head = self._request is not None and self._request.method == b'HEAD'
+        if is_head or head.status_code in _STATUSES_WITHOUT_BODY:
+            return
+        length = header(list(head.headers), b'content-length') or b'0'
+        if int(length) > self._limits.body_bytes:
+            self._fail(GARBLED, 'answer body exceeds the size limit')
+
+    def _on_body_data(self, data: bytes | bytearray) -> None:
+        self._body += data
         self._unfinished.total += len(data)
-        if self._body_bytes > self._limits.body_bytes:
+        if len(self._body) > self._limits.body_bytes:
             self._fail(GARBLED, 'answer body exceeds the size limit')
         elif self._unfinished.total > self._limits.unfinished_bytes:
             self._fail(GARBLED, 'unfinished answers exceed the memory limit')
-        else:
-            self._body_chunks.append(data)
 
     def _on_response_complete(self) -> None:
         if self._response_head is None or self._response_future is None:
@@ -305,7 +326,7 @@
         if not self._belongs_to_request(headers):
             self._skip_mismatched_response()
             return
-        body = b''.join(self._body_chunks)
+        body = bytes(self._body)
         self._response_future.set_result(
             Answer(self._response_head.status_code, headers, body)
         )
@@ -330,7 +351,8 @@
         if self._request is not None:
             self._serialize(self._request)
         if remaining:
-            self._parse(remaining)
+            # Parsed by the loop of the turn that came here.
+            self._http.receive_data(remaining)
 
     def _fail(self, kind: str, detail: str) -> None:
         if (
--- a/oleanderridge/http1/server.py
+++ b/oleanderridge/http1/server.py
@@ -11,6 +11,7 @@
 import h11
 
 from oleanderridge.http1.messages import Inbound, Reply, header
+from oleanderridge.http1.parse_turns import EVENTS_PER_LOOK, ParseTurns
 from oleanderridge.telemetry.logs import log_event
 
 _LOGGER = logging.getLogger(__name__)
@@ -22,6 +23,8 @@
 # A caller that leaves sent data unacknowledged for this long is disconnected.
 _TCP_USER_TIMEOUT_MS: Final = 8000
 _CLOSE_POLL_S: Final = 0.02
+# Bytes of later requests that a caller may send while one is being handled.
+_PIPELINED_BYTES_MAX: Final = 65536
 _STATUS_BAD_REQUEST: Final = 400
 _STATUS_TIMEOUT: Final = 408
 _STATUS_TOO_LARGE: Final = 413
@@ -176,8 +179,11 @@
         self._transport: Any = None
         self._request_head: h11.Request | None = None
         self._request_head_at: float = 0
+        self._turns = ParseTurns(self._process_events)
         self._body_chunks: list[bytes] = []
         self._body_bytes = 0
+        # Bytes that came while a request was being handled.
+        self._pipelined_bytes = 0
         self._handler_task: asyncio.Task | None = None
         self._disconnected: asyncio.Future[None] = self._loop.create_future()
         self._timer: asyncio.TimerHandle | None = None
@@ -192,6 +198,7 @@
     def connection_made(self, transport: Any) -> None:
         """Start the timer for the first request."""
         self._transport = transport
+        self._turns.start(transport)
         self._edge.connections.add(self)
         enable_tcp_timeouts(transport, _TCP_USER_TIMEOUT_MS)
         self._start_timer(self._edge.limits.header_timeout_s)
@@ -213,7 +220,13 @@
         except h11.RemoteProtocolError as error:
             self._reject_malformed(error)
             return
-        self._process_events()
+        if self._handler_task is None:
+            self._turns.on_data()
+            return
+        self._pipelined_bytes += len(data)
+        if self._pipelined_bytes > _PIPELINED_BYTES_MAX:
+            # The rest stays with the caller until this request has ended.
+            self._transport.pause_reading()
 
     def eof_received(self) -> bool:
         """Treat the end of the caller's stream as a disconnect."""
@@ -264,22 +277,28 @@
             return
         self._respond_and_close(_STATUS_TIMEOUT)
 
-    def _process_events(self) -> None:
+    def _process_events(self, until: float) -> bool:
+        """Parse received data; return whether some is left at a loop time."""
+        events = 0
         while self._handler_task is None and not self._lingering:
             try:
                 event = self._http.next_event()
             except h11.RemoteProtocolError as error:
                 self._reject_malformed(error)
-                return
+                return False
             if event is h11.NEED_DATA:
                 self._on_need_data()
-                return
+                return False
             if event is h11.PAUSED:
-                return
+                return False
             if isinstance(event, h11.ConnectionClosed):
                 self._transport.close()
-                return
+                return False
             self._on_event(event)
+            events += 1
+            if not events % EVENTS_PER_LOOK and self._loop.time() >= until:
+                return self._handler_task is None and not self._lingering
+        return False
 
     def _on_need_data(self) -> None:
         if (
@@ -405,7 +424,10 @@
             return
         self._http.start_next_cycle()
         self._start_timer(self._edge.limits.idle_timeout_s)
-        self._process_events()
+        if self._pipelined_bytes > _PIPELINED_BYTES_MAX:
+            self._transport.resume_reading()
+        self._pipelined_bytes = 0
+        self._turns.on_data()
 
     def _reject_malformed(self, error: h11.RemoteProtocolError) -> None:
         status = error.error_status_hint or _STATUS_BAD_REQUEST
--- a/oleanderridge/runtime/http.py
+++ b/oleanderridge/runtime/http.py
@@ -4,11 +4,25 @@
 
 import contextlib
 from collections.abc import Callable, Iterator
+from typing import Any
 
 from uvicorn import Config, Server
+from uvicorn.protocols.http.h11_impl import H11Protocol
+
+from oleanderridge.http1.parse_turns import limit_reads
 
 _KEEP_ALIVE_S = 75
 _BACKLOG = 2048
+# What h11 parses in one step: 680 chunks of one byte.
+_READ_BYTES = 4096
+
+
+class _ShortReadsProtocol(H11Protocol):
+    """A connection whose caller can't hold the loop with many small events."""
+
+    def connection_made(self, transport: Any) -> None:
+        limit_reads(transport, _READ_BYTES)
+        super().connection_made(transport)
 
 
 class LoopServer(Server):
@@ -41,7 +55,7 @@
         app,
         host=address,
         port=port,
-        http='h11',
+        http=_ShortReadsProtocol,
         ws='none',
         lifespan='off',
         log_config=None,
