Keep the body of an upload in one buffer

Cause: an object of 81 bytes for each chunk of 48, joined at the end and kept until the request ended. The limits count the bytes of bodies.

Change: one buffer, let go when the handler gets the body.

--- a/oleanderridge/http1/server.py
+++ b/oleanderridge/http1/server.py
@@ -180,7 +180,7 @@
         self._request_head: h11.Request | None = None
         self._request_head_at: float = 0
         self._turns = ParseTurns(self._process_events)
-        self._body_chunks: list[bytes] = []
+        self._body = bytearray()
         self._body_bytes = 0
         # Bytes that came while a request was being handled.
         self._pipelined_bytes = 0
@@ -317,7 +317,7 @@
         if isinstance(event, h11.Request):
             self._on_request_head(event)
         elif isinstance(event, h11.Data):
-            self._on_body_chunk(bytes(event.data))
+            self._on_body_chunk(event.data)
         elif isinstance(event, h11.EndOfMessage):
             self._on_request_complete()
 
@@ -336,8 +336,8 @@
                 return
         self._start_timer(self._edge.limits.idle_timeout_s)
 
-    def _on_body_chunk(self, chunk: bytes) -> None:
-        self._body_chunks.append(chunk)
+    def _on_body_chunk(self, chunk: bytes | bytearray) -> None:
+        self._body += chunk
         self._body_bytes += len(chunk)
         self._edge.buffered_bytes += len(chunk)
         limits = self._edge.limits
@@ -354,11 +354,13 @@
         if head is None:
             return
         self._cancel_timer()
+        body = bytes(self._body)
+        self._body = bytearray()
         request = Inbound(
             head.method,
             head.target,
             list(head.headers),
-            b''.join(self._body_chunks),
+            body,
             self._request_head_at,
             self._disconnected,
         )
@@ -384,7 +386,7 @@
     def _release_body(self) -> None:
         self._edge.buffered_bytes -= self._body_bytes
         self._body_bytes = 0
-        self._body_chunks = []
+        self._body = bytearray()
 
     def _write_response(self, method: bytes, reply: Reply) -> None:
         headers = list(reply.headers)
--- a/tests/test_parse_turns.py
+++ b/tests/test_parse_turns.py
@@ -1,6 +1,7 @@
 """Peers whose bytes hold many events share the loop with other work."""
 
 import asyncio
+import tracemalloc
 
 import pytest
 
@@ -133,7 +134,7 @@
         connection.connection_made(transport)
         upload = _POST + b'1\r\nx\r\n' * _CHUNKS + b'0\r\n\r\n'
         connection.data_received(upload)
-        assert len(connection._body_chunks) <= _TURN_EVENTS
+        assert len(connection._body) <= _TURN_EVENTS
         assert transport.paused
         await _passes_until(lambda: transport.written)
         assert bodies == [b'x' * _CHUNKS]
@@ -252,3 +253,30 @@
         await _passes_until(lambda: not transport.paused)
 
     _run(scenario)
+
+
+def test_an_upload_in_small_chunks_takes_little_more_than_its_bytes():
+    """Guards against a host that its memory limit ends during an upload."""
+    size = 4 << 20
+    chunk = b'30\r\n' + b'x' * 48 + b'\r\n'
+
+    async def handle(_request):
+        return Reply(200, [], b'')
+
+    async def scenario():
+        edge = Edge(handle, EdgeLimits())
+        connection, transport = CallerConnection(edge), _Transport()
+        connection.connection_made(transport)
+        tracemalloc.start()
+        began, _ = tracemalloc.get_traced_memory()
+        connection.data_received(_POST)
+        for _ in range(0, size, 48 * 1024):
+            connection.data_received(chunk * 1024)
+            await _passes_until(lambda: not transport.paused)
+        connection.data_received(b'0\r\n\r\n')
+        await _passes_until(lambda: transport.written)
+        _, peak = tracemalloc.get_traced_memory()
+        tracemalloc.stop()
+        assert peak - began < 2.5 * size
+
+    _run(scenario)
