Take no answer whose status is not 200 to 599

Cause: h11 takes statuses up to 999 and aiohttp any three digits; nothing looked at the range.

Ruled out: too few or too many digits, signs, letters, other scripts' digits, which both parsers refuse; the store and probes, which accept 200 alone.

Change: such an answer is garbled: 502, evidence against the target, a closed connection.

Failed before: of test_statuses.py the cases of gateway's client and callers with 600 and 999, and those of serve's client with 000, 099, 600 and 999, for each method.

Measured: all cases of test_statuses.py pass.

--- a/oleanderridge/forward/client.py
+++ b/oleanderridge/forward/client.py
@@ -48,6 +48,7 @@
 # What aiohttp parses in one step: 1,360 chunks of one byte.
 _READ_BYTES: Final = 8192
 
+_FINAL_STATUSES: Final = range(200, 600)
 _NO_BODY_STATUSES: Final = frozenset((204, 304))
 _SWITCHING_PROTOCOLS: Final = 101
 _AIOHTTP_DEFAULT_HEADERS: Final = (
@@ -305,6 +306,8 @@
 def _check_response_head(response: ClientResponse, attempt: Attempt) -> None:
     if response.status == _SWITCHING_PROTOCOLS:
         raise _InvalidResponseError('the target switched protocols')
+    if response.status not in _FINAL_STATUSES:
+        raise _InvalidResponseError(f'status {response.status} is none')
     if attempt.echo_header:
         echoed = response.headers.getall(attempt.echo_header, [])
         if echoed != [attempt.request.request_id]:
--- a/oleanderridge/http1/client.py
+++ b/oleanderridge/http1/client.py
@@ -28,6 +28,8 @@
 _KEEP_ALIVE_DEFAULT_S: Final = 3.0
 # Responses to other requests that are discarded before the exchange fails.
 _MISMATCHED_RESPONSES_MAX: Final = 2
+# h11 refuses what is less than 100 or isn't three digits.
+_STATUS_MAX: Final = 599
 _STATUSES_WITHOUT_BODY: Final = frozenset((204, 304))
 _KEEP_ALIVE_TIMEOUT = re.compile(rb'timeout\s*=\s*"?(\d+)')
 
@@ -304,6 +306,9 @@
 
     def _on_response_head(self, head: h11.Response) -> None:
         self._response_head = head
+        if head.status_code > _STATUS_MAX:
+            self._fail(GARBLED, f'status {head.status_code} is none')
+            return
         is_head = self._request is not None and self._request.method == b'HEAD'
         if is_head or head.status_code in _STATUSES_WITHOUT_BODY:
             return
