Claim no answers of the store during its absence

What callers could see: targets out of use just after the store is back, before they can register again.

Cause: a host said for how long hosts had had answers, up to now, although it had heard of none for a while; a reader that had just seen the absence end believed it. Fresh hosts took the unknown age of each other's replica for an answer an hour ago.

Ruled out: the model's own case of an absence passed, since the reader's announcement came before the heartbeats of the others; so the cases here ask the parts directly.

Change: nothing is claimed when the last answer is older than an absence takes, and unknown ages say nothing.

Failed before: two of the eight cases of test_store_absence.py.

Measured: the cases pass, and those of the models of the fleet.

--- a/oleanderridge/gateway/beliefs.py
+++ b/oleanderridge/gateway/beliefs.py
@@ -166,6 +166,19 @@
         if heard_at is None or at > heard_at:
             self._store_heard_at = at
 
+    def hear_of_store_age(self, age_ms: int, now: float) -> None:
+        """Take note of how old the replica of another host is.
+
+        Parameters
+        ----------
+        age_ms : int
+            Milliseconds since the store confirmed it.
+        now : float
+            Monotonic seconds.
+        """
+        if age_ms < _UNKNOWN_AGE_MS:
+            self.hear_of_store(now - age_ms / 1000)
+
     def record_store_failure(self, at: float) -> None:
         """Record a call to the store that failed.
 
@@ -187,8 +200,13 @@
         Returns
         -------
         int
-            Milliseconds without a pause in which the store may have been away.
+            Milliseconds without a pause in which the store may have been away;
+            0 in such a pause.
         """
+        heard_at = self._store_heard_at
+        if heard_at is None or now - heard_at > self._outage_s:
+            # It may be away right now.
+            return 0
         return int(max(0, now - self._steady_since) * 1000)
 
     def hear_of_steady_store(self, since: float) -> None:
--- a/oleanderridge/gateway/fleet_sync.py
+++ b/oleanderridge/gateway/fleet_sync.py
@@ -373,7 +373,7 @@
             self._members_fetched_at = now
             self._start_fetch(beat.host)
         table = self._beliefs.table
-        self._beliefs.hear_of_store(now - beat.store_age_ms / 1000)
+        self._beliefs.hear_of_store_age(beat.store_age_ms, now)
         if beat.store_steady_ms:
             steady_since = now - beat.store_steady_ms / 1000
             self._beliefs.hear_of_steady_store(steady_since)
@@ -470,7 +470,7 @@
         now = _now()
         self._apply_members(host, reply, now)
         before = table.digest
-        self._beliefs.hear_of_store(now - reply.store_age_ms / 1000)
+        self._beliefs.hear_of_store_age(reply.store_age_ms, now)
         retain_until = self._beliefs.outage_ended_at + self._return_grace_s
         apply_targets(
             table,
