Keep the removal of a retained target with it, and the queue of turns going

What callers could see: a host that ends when thousands of targets lapse in one absence of the store and one of them registers again; a target used again between two of its removals; all slow connections of a host at rest after an error in one turn.

Cause: the position of a retained target's removal was looked up among the tombstones, of which the oldest are dropped, and a position that was taken over since was not looked at. The queue scheduled its next turn only after one without an error.

Ruled out: an error in a turn outside the queue, which asyncio ends with its connection.

Change: the retention holds the position; what the own position covers is refused for retained targets, too. The next turn is scheduled in any case.

Failed before: the three cases that this commit adds.

--- a/oleanderridge/gateway/target_table.py
+++ b/oleanderridge/gateway/target_table.py
@@ -31,6 +31,13 @@
     last: Statement
 
 
+class _Retention(NamedTuple):
+    """Position of a removal, and until when the target stays in use."""
+
+    position: StorePosition
+    until: float
+
+
 class _Gap(NamedTuple):
     """Positions between which removals of short-lived targets are unknown."""
 
@@ -70,8 +77,8 @@
         self._removals_from = NO_POSITION
         self._last_removal = NO_POSITION
         self._gaps: list[_Gap] = []
-        # Removed targets that stay in use, and until when in monotonic seconds.
-        self._retained: dict[str, float] = {}
+        # Removed targets that stay in use.
+        self._retained: dict[str, _Retention] = {}
         # Entries of a copy whose targets are known to be removed.
         self._withheld: dict[str, TargetRecord] = {}
         self._keeps_former_removals = False
@@ -116,13 +123,13 @@
 
     def _put(self, record: TargetRecord, known_to: StorePosition) -> bool:
         target = record.target
-        if target in self._retained:
-            removal = self._tombstones[target]
-            if record.position <= removal.position:
+        retention = self._retained.get(target)
+        if retention is not None:
+            if record.position <= max(retention.position, known_to):
                 return False
             # It registered again.
             self._retained.pop(target)
-            self._tombstones.pop(target)
+            self._tombstones.pop(target, None)
             self._digest = None
         known = self.by_id.get(target)
         if known is None:
@@ -185,6 +192,7 @@
             own = self._tombstones.get(target)
             if own is None or own.position < tombstone.position:
                 self._add_tombstone(target, tombstone)
+                self._retain_past(target, tombstone.position)
             return False
         if known.position <= tombstone.position:
             if retain_until and known.state != DRAINING:
@@ -244,13 +252,14 @@
         if known is None or known.position > position:
             return
         if target not in self._retained:
-            self._retained[target] = until
+            self._retained[target] = _Retention(position, until)
             self._add_tombstone(target, Tombstone(position, known.statement()))
             self._digest = None
 
     def end_retention(self) -> None:
         """Let removed targets fall due that were kept in use."""
-        self._retained = dict.fromkeys(self._retained, -math.inf)
+        for target, retention in self._retained.items():
+            self._retained[target] = retention._replace(until=-math.inf)
 
     def lapse(self, now: float) -> list[str]:
         """End the use of removed targets, and former removals.
@@ -266,7 +275,9 @@
             Ids of the targets that are out of use or are back.
         """
         due = [
-            target for target, until in self._retained.items() if until <= now
+            target
+            for target, retention in self._retained.items()
+            if retention.until <= now
         ]
         for target in due:
             del self.by_id[target]
@@ -450,6 +461,12 @@
             if self._retained.pop(listed.target, None) is not None:
                 self._digest = None
 
+    def _retain_past(self, target: str, position: StorePosition) -> None:
+        """Let a retained target's removal count from a later position."""
+        retention = self._retained.get(target)
+        if retention is not None:
+            self._retained[target] = retention._replace(position=position)
+
     def _contradicts(self, record: TargetRecord) -> bool:
         """Return whether a record's target should be known by the position."""
         return (
--- a/oleanderridge/http1/parse_turns.py
+++ b/oleanderridge/http1/parse_turns.py
@@ -51,10 +51,14 @@
         if not self._waiting:
             self._is_scheduled = False
             return
-        took_s = self._waiting.popleft().take()
-        asyncio.get_running_loop().call_later(
-            _PAUSE_FACTOR * took_s, self._run_next
-        )
+        took_s = _TURN_S
+        try:
+            took_s = self._waiting.popleft().take()
+        finally:
+            # Also after an error: the other connections wait for their turns.
+            asyncio.get_running_loop().call_later(
+                _PAUSE_FACTOR * took_s, self._run_next
+            )
 
 
 _queues: WeakKeyDictionary[Any, ParseQueue] = WeakKeyDictionary()
--- a/tests/test_parse_turns.py
+++ b/tests/test_parse_turns.py
@@ -206,6 +206,29 @@
     _run(scenario)
 
 
+def test_an_error_in_a_turn_leaves_the_others_theirs():
+    """Guards against a queue that stands still for good after an error."""
+    errors = []
+
+    async def scenario():
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(
+            lambda _loop, context: errors.append(context)
+        )
+        broken, (connection, _, exchange) = _connect(), _connect()
+        await asyncio.sleep(0)
+        for each in (broken[0], connection):
+            each.data_received(_ANSWER + b'1\r\nx\r\n' * _CHUNKS)
+        broken[0]._http = None
+        await _passes_until(lambda: len(connection._body) == _CHUNKS)
+        connection.data_received(b'0\r\n\r\n')
+        assert (await exchange).body == b'x' * _CHUNKS
+        broken[2].cancel()
+
+    _run(scenario)
+    assert len(errors) == 1
+
+
 def test_an_answer_that_states_too_long_a_body_fails_at_its_head():
     """Guards against reading a body that can't become a proper answer."""
 
--- a/tests/test_target_table.py
+++ b/tests/test_target_table.py
@@ -164,3 +164,30 @@
     assert set(table.by_id) == {'a'}
     assert not table.needs_check
     assert NO_POSITION < table.position == at(9, era)
+
+
+def test_a_retained_target_outlives_its_tombstone(monkeypatch):
+    """Guards against a host that ends when many targets lapse at once."""
+    monkeypatch.setattr(target_table, '_MAX_TOMBSTONES', 2)
+    table = _listed(
+        *(record(name, revision=3) for name in 'abcd'), position=at(5)
+    )
+    for place, name in enumerate('abcd'):
+        table.postpone_removal(name, at(6 + place), 10)
+    assert not table.put(record('a', revision=4))
+    assert table.put(record('a', revision=11))
+    assert set(table.lapse(11)) == {'b', 'c', 'd'}
+    assert set(table.by_id) == {'a'}
+
+
+def test_a_retained_target_is_not_brought_back_before_its_last_removal():
+    """Guards against an entry between two removals of one target."""
+    table = _listed(record('a', revision=3), position=at(5))
+    table.postpone_removal('a', at(6), 10)
+    other = _listed(record('a', revision=8), position=at(8))
+    other.remove('a', at(9))
+    other.advance(at(9))
+    _fetch(table, other)
+    assert not table.put(record('a', revision=8))
+    assert table.lapse(11) == ['a']
+    assert not table.by_id
