--- a/review/kit3/fleet.py
+++ b/review/kit3/fleet.py
@@ -234,13 +234,13 @@
         return self.process is not None and self.process.poll() is None
 
     def memory_mb(self) -> float:
-        """Return the resident memory of the process in megabytes."""
+        """Return the resident memory of the process, mapped files left out."""
         try:
             text = Path(f'/proc/{self.process.pid}/status').read_text()
         except OSError:
             return 0
-        found = re.search(r'VmRSS:\s+(\d+) kB', text)
-        return int(found[1]) * 1024 / 1e6 if found else 0
+        found = re.search(r'RssAnon:\s+(\d+) kB', text)
+        return int(found[1]) / 1024 if found else 0
 
     def log(self) -> str:
         """Return what the process has written."""
