--- a/review/14/case.py
+++ b/review/14/case.py
@@ -3,8 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import fcntl
 import re
+import struct
 import sys
+import termios
 import time
 from pathlib import Path
 
@@ -61,6 +64,13 @@
     return '\r\n'.join((*lines, '', '')).encode() + body
 
 
+def unacknowledged_bytes(writer: asyncio.StreamWriter) -> int:
+    """Return what the other machine has not taken yet."""
+    sock = writer.get_extra_info('socket')
+    out = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(4))
+    return writer.transport.get_write_buffer_size() + struct.unpack('i', out)[0]
+
+
 class Case:
     """One play."""
 
@@ -88,7 +98,11 @@
             end = 'closed' if found is None else str(found.status)
         except TimeoutError:
             end = 'left'
-            self.closed_at[attempt] = time.monotonic()
+            left = unacknowledged_bytes(writer)
+            self.fleet.write(f'order {attempt}: {left} bytes on their way')
+            if not left:
+                # So the close reaches the machine at once.
+                self.closed_at[attempt] = time.monotonic()
         writer.close()
         self.ends[end] = self.ends.get(end, 0) + 1
         self.fleet.write(f'order {attempt}: {end}')
