--- a/review/kit3/fleet.py
+++ b/review/kit3/fleet.py
@@ -201,10 +201,12 @@
         self.write_settings()
         deploy = tomllib.loads((ROOT / 'deploy' / 'system.toml').read_text())
         words = deploy['roles']['host']['run'].split(' ')
-        words = [
-            str(self.settings) if word == '/etc/oleanderridge/node.toml' else word
-            for word in words
-        ]
+        # The interpreter itself, in case `python3` is a wrapper here.
+        in_place = {
+            'python3': sys.executable,
+            '/etc/oleanderridge/node.toml': str(self.settings),
+        }
+        words = [in_place.get(word, word) for word in words]
         self.starts += 1
         log = (self.fleet.folder / f'{self.name}.log').open('ab')
         self.process = subprocess.Popen(
--- a/review/kit3/hot_tenant.py
+++ b/review/kit3/hot_tenant.py
@@ -130,11 +130,13 @@
         await self.load(USUAL_PER_S, time.monotonic() + CALM_S)
         began = time.monotonic()
         fleet.write(f'the tenant sends {HOT_X} times its usual')
+        disturbing = None
         if TROUBLE:
             disturbing = asyncio.create_task(disturb(self, began))
-            self.tasks.add(disturbing)
         await self.load(USUAL_PER_S * HOT_X, began + HOT_S)
         await asyncio.sleep(3)
+        if disturbing is not None:
+            await disturbing
         for target in fleet.targets:
             for run in target.runs:
                 fleet.write(f'order {run.attempt} ran at {run.at - began:.3f}')
