--- a/review/13/case.py
+++ b/review/13/case.py
@@ -10,7 +10,7 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[2]))
 
-from review.kit3.fleet import play
+from review.kit3.fleet import TROUBLE, play
 from review.kit3.hot_tenant import HotTenant, play_hot_tenant
 
 # In seconds from the start of the hot traffic.
@@ -26,4 +26,5 @@
         case.fleet.write(f'{host.name} is killed')
 
 
-play(lambda: play_hot_tenant(Path(__file__).parent, 112, kill_leaders))
+disturb = kill_leaders if TROUBLE else None
+play(lambda: play_hot_tenant(Path(__file__).parent, 112, disturb))
--- a/review/14/case.py
+++ b/review/14/case.py
@@ -10,7 +10,7 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[2]))
 
-from review.kit3.fleet import play
+from review.kit3.fleet import TROUBLE, play
 from review.kit3.hot_tenant import HotTenant, play_hot_tenant
 
 # In seconds from the start of the hot traffic.
@@ -29,4 +29,5 @@
     case.fleet.write(f'{leader.name} goes on')
 
 
-play(lambda: play_hot_tenant(Path(__file__).parent, 115, pause_leader))
+disturb = pause_leader if TROUBLE else None
+play(lambda: play_hot_tenant(Path(__file__).parent, 115, disturb))
--- a/review/kit3/hot_tenant.py
+++ b/review/kit3/hot_tenant.py
@@ -15,7 +15,6 @@
     BROKEN,
     HELD,
     NOT_RUN,
-    TROUBLE,
     Fleet,
     Host,
     Target,
@@ -104,9 +103,12 @@
         return best
 
     async def run(
-        self, disturb: Callable[[HotTenant, float], Awaitable[None]]
+        self, disturb: Callable[[HotTenant, float], Awaitable[None]] | None
     ) -> int:
-        """Play and judge; ``disturb`` gets the start of the hot traffic."""
+        """Play and judge; ``disturb`` gets the start of the hot traffic.
+
+        It is None for a play without the disruption.
+        """
         fleet = self.fleet
         await fleet.store.start(f'127.{self.net}.3.1')
         fleet.store.put(
@@ -131,7 +133,7 @@
         began = time.monotonic()
         fleet.write(f'the tenant sends {HOT_X} times its usual')
         disturbing = None
-        if TROUBLE:
+        if disturb is not None:
             disturbing = asyncio.create_task(disturb(self, began))
         await self.load(USUAL_PER_S * HOT_X, began + HOT_S)
         await asyncio.sleep(3)
@@ -156,7 +158,7 @@
 async def play_hot_tenant(
     folder: Path,
     net: int,
-    disturb: Callable[[HotTenant, float], Awaitable[None]],
+    disturb: Callable[[HotTenant, float], Awaitable[None]] | None,
 ) -> int:
     """Play once and end all processes."""
     case = HotTenant(folder, net)
