--- a/review/13/case.py
+++ b/review/13/case.py
@@ -19,7 +19,7 @@
 
 async def kill_leaders(case: HotTenant, began: float) -> None:
     """Kill the host that leads, and then the one that follows it."""
-    for host, after_s in zip(case.ranked(), KILLS_S, strict=False):
+    for host, after_s in zip(await case.ranked(), KILLS_S, strict=False):
         await asyncio.sleep(max(0, began + after_s - time.monotonic()))
         case.alive.remove(host)
         host.signal(signal.SIGKILL)
--- a/review/14/case.py
+++ b/review/14/case.py
@@ -20,7 +20,7 @@
 
 async def pause_leader(case: HotTenant, began: float) -> None:
     """Let the host that leads stand still for a while."""
-    leader = case.ranked()[0]
+    leader = (await case.ranked())[0]
     await asyncio.sleep(max(0, began + PAUSE_AT_S - time.monotonic()))
     leader.signal(signal.SIGSTOP)
     case.fleet.write(f'{leader.name} stands still')
--- a/review/kit3/fleet.py
+++ b/review/kit3/fleet.py
@@ -309,6 +309,15 @@
             await asyncio.sleep(0.05)
         return not waiting
 
+    async def leader(self) -> Host | None:
+        """Return the host that says on its own page that it leads."""
+        for host in self.hosts:
+            page = f'{host.ip}:{self.ports["directory"]}'
+            found = await request(page, 'GET', '/state', {}, b'', 2)
+            if found and json.loads(found.body)['leader'] == host.ip:
+                return host
+        return None
+
     async def close(self) -> None:
         """End all processes and remove the folder."""
         for host in self.hosts:
--- a/review/kit3/hot_tenant.py
+++ b/review/kit3/hot_tenant.py
@@ -82,9 +82,12 @@
                 due += random.expovariate(per_s)
             await asyncio.sleep(0.003)
 
-    def ranked(self) -> list[Host]:
-        """Return the hosts, the one that leads first."""
-        return sorted(self.fleet.hosts, key=start_of)
+    async def ranked(self) -> list[Host]:
+        """Return the hosts, the one that leads first, then its successors."""
+        leader = await self.fleet.leader()
+        others = [host for host in self.fleet.hosts if host is not leader]
+        others.sort(key=start_of)
+        return others if leader is None else [leader, *others]
 
     def most(self) -> tuple[int, float]:
         """Return the most orders that were sent and ran in a window."""
