--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,4 +1,4 @@
-"""A tenant sends eight times its usual while two leaders are killed."""
+"""A tenant sends eight times its usual while the leader stands still."""
 
 from __future__ import annotations
 
@@ -14,17 +14,20 @@
 from review.kit3.hot_tenant import HotTenant, play_hot_tenant
 
 # In seconds from the start of the hot traffic.
-KILLS_S = (0.15, 0.65)
+PAUSE_AT_S = 0.15
+PAUSE_S = 0.8
 
 
-async def kill_leaders(case: HotTenant, began: float) -> None:
-    """Kill the host that leads, and then the one that follows it."""
-    for host, after_s in zip(await case.ranked(), KILLS_S, strict=False):
-        await asyncio.sleep(max(0, began + after_s - time.monotonic()))
-        case.alive.remove(host)
-        host.signal(signal.SIGKILL)
-        case.fleet.write(f'{host.name} is killed')
+async def pause_leader(case: HotTenant, began: float) -> None:
+    """Let the host that leads stand still for a while."""
+    leader = (await case.ranked())[0]
+    await asyncio.sleep(max(0, began + PAUSE_AT_S - time.monotonic()))
+    leader.signal(signal.SIGSTOP)
+    case.fleet.write(f'{leader.name} stands still')
+    await asyncio.sleep(PAUSE_S)
+    leader.signal(signal.SIGCONT)
+    case.fleet.write(f'{leader.name} goes on')
 
 
-disturb = kill_leaders if TROUBLE else None
-play(lambda: play_hot_tenant(Path(__file__).parent, 112, disturb))
+disturb = pause_leader if TROUBLE else None
+play(lambda: play_hot_tenant(Path(__file__).parent, 115, disturb))
